Add the design page, the build, and the core library

Cause: the repository was empty; the modules need one agreed description and shared types before they can be written side by side. Conclusion: the interfaces are fixed enough for parallel work; nothing is served yet.

--- /dev/null
+++ b/cmake/SycamoredrumTargets.cmake
@@ -0,0 +1,21 @@
+# Defines a static library of the workspace with its public headers under src/include.
+# sycamoredrum_library(NAME SOURCES file... DEPENDS target...)
+function(sycamoredrum_library name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_library(sd_${name} STATIC ${ARG_SOURCES})
+  target_include_directories(sd_${name} PUBLIC ${PROJECT_SOURCE_DIR}/src/include)
+  target_include_directories(sd_${name} PRIVATE ${CMAKE_CURRENT_SOURCE_DIR})
+  target_link_libraries(sd_${name} PUBLIC ${ARG_DEPENDS} Threads::Threads)
+endfunction()
+
+# Defines a GoogleTest program. Labels select the runs under sanitizers: "process" tests start
+# real processes, "concurrent" tests run under ThreadSanitizer.
+# sycamoredrum_test(NAME SOURCES file... DEPENDS target... LABELS label...)
+function(sycamoredrum_test name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS;LABELS" ${ARGN})
+  add_executable(${name} ${ARG_SOURCES})
+  target_include_directories(${name} PRIVATE ${CMAKE_CURRENT_SOURCE_DIR})
+  target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} GTest::gmock GTest::gtest GTest::gtest_main)
+  add_test(NAME ${name} COMMAND ${name})
+  set_tests_properties(${name} PROPERTIES TIMEOUT 300 LABELS "${ARG_LABELS}")
+endfunction()
--- /dev/null
+++ b/src/core/rendezvous_test.cc
@@ -0,0 +1,21 @@
+#include "sycamoredrum/rendezvous.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace sycamoredrum {
+namespace {
+
+// Guards against duties moving between live members when another member leaves.
+TEST(RendezvousTest, RemovingACandidateKeepsTheOrderOfTheOthers) {
+  const std::vector<std::string> all = {"a", "b", "c", "d", "e"};
+  for (const char* key : {"orders", "stock", "quotes"}) {
+    std::vector<std::string> expected = RankByRendezvous(key, all);
+    expected.erase(std::find(expected.begin(), expected.end(), "c"));
+    EXPECT_EQ(RankByRendezvous(key, {"e", "d", "b", "a"}), expected);
+  }
+}
+
+}  // namespace
+}  // namespace sycamoredrum
--- /dev/null
+++ b/src/include/sycamoredrum/manual_clock.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <utility>
+
+#include "sycamoredrum/clock.h"
+
+namespace sycamoredrum {
+
+/// Clock and scheduler that move only when told to. Lets tests and simulations run many instances
+/// of the decision code in one process. Not thread-safe.
+class ManualClock : public Clock, public Scheduler {
+ public:
+  TimePoint Now() const override { return this->now; }
+
+  void RunAfter(Duration delay, std::function<void()> callback) override;
+
+  /// Moves time forward by `step` and runs every callback that falls due, in order of due time and
+  /// then of registration. `Now()` equals the due time while a callback runs.
+  void Advance(Duration step);
+
+  /// Number of callbacks that have not run yet.
+  std::size_t Pending() const { return this->timers.size(); }
+
+ private:
+  TimePoint now{std::chrono::hours(1)};  // Not zero, so that "now - age" never underflows in tests.
+  std::uint64_t next_timer = 0;
+  std::map<std::pair<TimePoint, std::uint64_t>, std::function<void()>> timers;
+};
+
+}  // namespace sycamoredrum
