--- /dev/null
+++ b/src/telemetry/log.cc
@@ -0,0 +1,125 @@
+#include "sycamoredrum/log.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+#include <absl/time/time.h>
+#include <fmt/format.h>
+
+#include <cstdio>
+#include <nlohmann/json.hpp>
+
+namespace sycamoredrum {
+namespace {
+
+std::string Timestamp() {
+  return absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ", absl::Now(), absl::UTCTimeZone());
+}
+
+bool NeedsQuotes(std::string_view value) {
+  return value.empty() || value.find_first_of(" =\"\n\t\\") != std::string_view::npos;
+}
+
+std::string Quoted(const std::string& value) {
+  return NeedsQuotes(value)
+             ? nlohmann::json(value).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)
+             : value;
+}
+
+std::string TextLine(LogLevel level, std::string_view event, const std::vector<LogField>& fields) {
+  std::string line = fmt::format("time={} level={} event={}", Timestamp(), ToString(level), event);
+  for (const LogField& field : fields) {
+    fmt::format_to(std::back_inserter(line), " {}={}", field.key, Quoted(field.value));
+  }
+  return line;
+}
+
+std::string JsonLine(LogLevel level, std::string_view event, const std::vector<LogField>& fields) {
+  nlohmann::ordered_json json;
+  json["time"] = Timestamp();
+  json["level"] = std::string(ToString(level));
+  json["event"] = std::string(event);
+  for (const LogField& field : fields) {
+    json[field.key] = field.value;
+  }
+  return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+}  // namespace
+
+std::string_view ToString(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return "debug";
+    case LogLevel::kInfo:
+      return "info";
+    case LogLevel::kWarning:
+      return "warning";
+    case LogLevel::kError:
+      return "error";
+  }
+  return "info";
+}
+
+std::optional<LogLevel> ParseLogLevel(std::string_view text) {
+  for (const LogLevel level :
+       {LogLevel::kDebug, LogLevel::kInfo, LogLevel::kWarning, LogLevel::kError}) {
+    if (ToString(level) == text) {
+      return level;
+    }
+  }
+  return std::nullopt;
+}
+
+Logger::Logger(LogLevel minimum, LogFormat format, const Clock& clock, Sink sink)
+    : minimum(minimum), format(format), clock(clock), sink(std::move(sink)) {}
+
+Logger::Sink Logger::StandardError() {
+  return [](const std::string& line) { fmt::print(stderr, "{}\n", line); };
+}
+
+void Logger::Debug(std::string_view event, std::vector<LogField> fields) {
+  this->Write(LogLevel::kDebug, event, std::move(fields));
+}
+
+void Logger::Info(std::string_view event, std::vector<LogField> fields) {
+  this->Write(LogLevel::kInfo, event, std::move(fields));
+}
+
+void Logger::Warning(std::string_view event, std::vector<LogField> fields) {
+  this->Write(LogLevel::kWarning, event, std::move(fields));
+}
+
+void Logger::Error(std::string_view event, std::vector<LogField> fields) {
+  this->Write(LogLevel::kError, event, std::move(fields));
+}
+
+bool Logger::Admit(std::string_view event, std::uint64_t& suppressed) {
+  const absl::MutexLock lock(&this->mutex);
+  EventRate& rate = this->rates[std::string(event)];
+  const TimePoint now = this->clock.Now();
+  if (now - rate.second_started >= std::chrono::seconds(1)) {
+    rate.second_started = now;
+    rate.lines = 0;
+  }
+  if (rate.lines >= kMaxLinesPerSecond) {
+    ++rate.suppressed;
+    return false;
+  }
+  ++rate.lines;
+  suppressed = std::exchange(rate.suppressed, 0);
+  return true;
+}
+
+void Logger::Write(LogLevel level, std::string_view event, std::vector<LogField> fields) {
+  std::uint64_t suppressed = 0;
+  if (level < this->minimum || !this->Admit(event, suppressed)) {
+    return;
+  }
+  if (suppressed > 0) {
+    fields.push_back(LogField{"suppressed", absl::StrCat(suppressed)});
+  }
+  this->sink(this->format == LogFormat::kJson ? JsonLine(level, event, fields)
+                                              : TextLine(level, event, fields));
+}
+
+}  // namespace sycamoredrum
