--- a/src/config/test_tickets.h
+++ b/src/config/test_tickets.h
@@ -138,10 +138,20 @@
     return page;
   }
 
+  std::vector<KeyValue> ChangedAfter(std::uint64_t after_revision) {
+    std::vector<KeyValue> changed;
+    for (const auto& [key, value] : this->values) {
+      if (value.revision > after_revision) {
+        changed.push_back(value);
+      }
+    }
+    return changed;
+  }
+
   void ServeWatches() {
     for (auto watch = this->watches.begin(); watch != this->watches.end();) {
       const std::uint64_t id = watch->first;
-      const bool due = this->down || this->revision > watch->second.after_revision;
+      const bool due = this->down || !this->ChangedAfter(watch->second.after_revision).empty();
       ++watch;
       if (due) {
         this->Answer([this, id] {
@@ -156,13 +166,9 @@
     if (node.empty()) {
       return;
     }
-    std::vector<KeyValue> changed;
-    for (const auto& [key, value] : this->values) {
-      if (status == PlatformStatus::kOk && value.revision > node.mapped().after_revision) {
-        changed.push_back(value);
-      }
-    }
-    node.mapped().done(status, changed);
+    node.mapped().done(status, status == PlatformStatus::kOk
+                                   ? this->ChangedAfter(node.mapped().after_revision)
+                                   : std::vector<KeyValue>());
   }
 
   Scheduler& scheduler;
