--- a/src/include/sycamoredrum/database_view.h
+++ b/src/include/sycamoredrum/database_view.h
@@ -37,18 +37,28 @@
   std::vector<BackendServerView> backend_servers;
   std::optional<FreshnessProof> proof;
 
+  /// Returns nullptr if the view does not list the server.
   const BackendServerView* Find(std::string_view id) const;
 };
 
+bool operator==(const BackendServerView& a, const BackendServerView& b);
+bool operator==(const DatabaseView& a, const DatabaseView& b);
+
 /// Builds the view from the answers of one probe round. `round_started` is the local time before
 /// the first probe of the round was sent; only servers observed at or after it count towards a
 /// proof. The proof of `previous` is kept if the round gives none.
+///
+/// The primary is the reachable server that acts as primary in the highest term of all reachable
+/// servers and has promised no higher term. There is none if a reachable server already follows a
+/// higher term. The round gives a proof if that primary and a majority of `servers` answered with a
+/// promised term that is not above the primary's term.
 DatabaseView BuildDatabaseView(const std::string& database,
                                const std::vector<BackendServerView>& servers,
                                TimePoint round_started,
                                const std::optional<FreshnessProof>& previous);
 
-/// JSON form sent between proxies. Times are sent as ages relative to `now`.
+/// JSON form sent between proxies. Times are sent as ages relative to `now`, in microseconds,
+/// rounded up.
 std::string ToJson(const DatabaseView& view, TimePoint now);
 
 /// Inverse of ToJson. Ages are subtracted from `requested_at`, the local time at which the answer
