Add the fair queue and the connection pool

Cause: connections to backend servers are scarce; a caller group that sends too much must not keep others waiting, and a connection whose state is unknown must never be used again. Change: library pool with FairQueue (bounded, deficit round robin by caller group, refusal of entries that would miss their deadline, retry hint from the measured service time) and ConnectionPool (leases with one owner, limit set from outside and lowered by one for 1 s after a refused open, at most 4 opens at once, leaving state, three-quarter share while others wait). When the queue is full, the newest entry of the group with the most entries for its weight makes room.

--- /dev/null
+++ b/src/include/sycamoredrum/connection_pool.h
@@ -0,0 +1,169 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "sycamoredrum/clock.h"
+#include "sycamoredrum/fair_queue.h"
+
+namespace sycamoredrum {
+
+/// Number of a database connection, unique in the process and never used twice.
+using ConnectionId = std::uint64_t;
+
+enum class OpenStatus {
+  kOpened,
+  kRefused,      ///< The backend server's connection cap is reached.
+  kUnreachable,  ///< No connection could be made.
+};
+
+struct OpenResult {
+  OpenStatus status = OpenStatus::kUnreachable;
+  ConnectionId connection = 0;  ///< Only for kOpened.
+};
+
+using OpenCallback = std::function<void(const OpenResult&)>;
+
+/// Side effects of a ConnectionPool.
+struct ConnectionPoolHooks {
+  /// Opens a connection and calls back once. The pool ignores a second callback, and treats an open
+  /// without an answer after kOpenTimeout as unreachable; it closes connections that arrive later.
+  std::function<void(OpenCallback)> open;
+  /// Closes a connection; the backend server rolls back its transaction.
+  std::function<void(ConnectionId)> close;
+};
+
+struct LeaseRequest {
+  std::string caller_group;
+  int weight = 1;  ///< Share of the caller group in the queue.
+  TimePoint deadline;
+};
+
+enum class LeaseStatus {
+  kGranted,
+  kQueueFull,
+  kDeadline,           ///< The deadline passed, or the estimated wait is longer.
+  kConnectionRefused,  ///< No connection is open and the backend server admits none.
+  kUnreachable,        ///< No connection is open and none can be made.
+  kLeaving,            ///< The backend server is leaving.
+};
+
+/// Exclusive right to use a connection until it is released.
+struct Lease {
+  ConnectionId connection = 0;
+  std::uint64_t number = 0;  ///< Differs for every lease.
+};
+
+struct LeaseAnswer {
+  LeaseStatus status = LeaseStatus::kUnreachable;
+  Lease lease;             ///< Only for kGranted.
+  Duration retry_after{};  ///< Refusals: when another attempt is likely to succeed.
+};
+
+using LeaseCallback = std::function<void(const LeaseAnswer&)>;
+
+enum class ConnectionState {
+  kClean,   ///< No transaction is open and no answer is outstanding.
+  kBroken,  ///< Anything else; the connection is closed.
+};
+
+/// The connections of one holder to one backend server. A connection has at most one owner, and is
+/// closed and never leased again if its state is not known. While several caller groups wait, none
+/// of them gets more than three quarters of the connections. Not thread-safe; callbacks may run
+/// inside any method and may call the pool again, but must not destroy it.
+class ConnectionPool {
+ public:
+  /// Opens in progress at the same time; bounds the load on a backend server that returns.
+  static constexpr std::size_t kMaxConcurrentOpens = 4;
+  /// How long a refused open lowers the limit by one.
+  static constexpr Duration kLimitReduction = std::chrono::seconds(1);
+  /// Pause between attempts to reach a server; otherwise waiting requests would retry in a loop.
+  static constexpr Duration kUnreachablePause = std::chrono::milliseconds(100);
+  static constexpr Duration kOpenTimeout = std::chrono::seconds(1);
+
+  ConnectionPool(ConnectionPoolHooks hooks, int limit, const Clock& clock, Scheduler& scheduler,
+                 std::size_t max_waiting = FairQueue::kDefaultMaxEntries);
+
+  /// Calls back exactly once, with a lease or with a refusal. No connection is used on behalf of a
+  /// refused request.
+  void Acquire(const LeaseRequest& request, LeaseCallback callback);
+
+  /// Ends a lease. A lease that has already ended is ignored.
+  void Release(const Lease& lease, ConnectionState state);
+
+  /// Reports that the backend server closed a connection.
+  void ConnectionClosed(ConnectionId connection);
+
+  /// Sets the number of connections that this holder may open. Surplus connections are closed when
+  /// they are idle.
+  void SetLimit(int new_limit);
+
+  /// While set, no lease is granted, waiting requests are refused and connections are closed as
+  /// soon as they are released.
+  void SetLeaving(bool value);
+
+  /// Limit after reductions for refused opens.
+  int EffectiveLimit() const;
+  /// Connections that are open or being opened.
+  std::size_t Total() const { return this->connections.size() + this->opens.size(); }
+  std::size_t Idle() const { return this->idle.size(); }
+  std::size_t Leased() const { return this->connections.size() - this->idle.size(); }
+  std::size_t Opening() const { return this->opens.size(); }
+  std::size_t Waiting() const { return this->waiting.size(); }
+
+ private:
+  struct Connection {
+    std::uint64_t lease = 0;  ///< Number of the present lease; 0: idle.
+    std::string caller_group;
+    TimePoint leased_at;
+    bool closed_by_server = false;
+  };
+  struct Waiter {
+    std::string caller_group;
+    LeaseCallback callback;
+  };
+
+  void Dispatch();
+  void GrantIdle();
+  void Grant(const QueueEntry& entry);
+  void StartOpens();
+  void StartOpen();
+  void FinishOpen(std::uint64_t open, const OpenResult& result);
+  void RefuseWithoutConnections();
+  void RefuseAll(LeaseStatus status, Duration retry_after);
+  void Refuse(std::uint64_t waiter, LeaseStatus status, Duration retry_after);
+  void ExpireWaiter(std::uint64_t waiter);
+  void ReduceLimit();
+  void CloseSurplusIdle();
+  void Close(ConnectionId connection);
+  bool MayLease(const std::string& caller_group) const;
+  void RunLater(Duration delay, std::function<void()> action);
+
+  ConnectionPoolHooks hooks;
+  int limit;
+  const Clock& clock;
+  Scheduler& scheduler;
+  FairQueue queue;
+  bool leaving = false;
+  std::map<ConnectionId, Connection> connections;
+  std::vector<ConnectionId> idle;  ///< The last one released is used first.
+  std::set<std::uint64_t> opens;   ///< Numbers of the opens in progress.
+  std::map<std::uint64_t, Waiter> waiting;
+  std::map<std::string, int> leases_by_group;
+  std::deque<TimePoint> reductions;  ///< Ends of the reductions in force.
+  TimePoint opens_paused_until;
+  OpenStatus last_open = OpenStatus::kUnreachable;
+  std::uint64_t next_number = 1;
+  bool dispatching = false;
+  bool dispatch_again = false;
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);  ///< Expires with the pool.
+};
+
+}  // namespace sycamoredrum
--- /dev/null
+++ b/src/pool/connection_pool.cc
@@ -0,0 +1,269 @@
+#include "sycamoredrum/connection_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sycamoredrum {
+
+ConnectionPool::ConnectionPool(ConnectionPoolHooks hooks, int limit, const Clock& clock,
+                               Scheduler& scheduler, std::size_t max_waiting)
+    : hooks(std::move(hooks)),
+      limit(std::max(limit, 0)),
+      clock(clock),
+      scheduler(scheduler),
+      queue(clock, max_waiting),
+      opens_paused_until(clock.Now()) {}
+
+void ConnectionPool::Acquire(const LeaseRequest& request, LeaseCallback callback) {
+  if (this->leaving) {
+    callback(LeaseAnswer{LeaseStatus::kLeaving, {}, {}});
+    return;
+  }
+  const std::uint64_t waiter = this->next_number++;
+  this->queue.SetParallelism(this->EffectiveLimit());
+  const QueueVerdict verdict =
+      this->queue.Push(QueueEntry{waiter, request.caller_group, request.weight, request.deadline});
+  if (!verdict.accepted) {
+    const LeaseStatus status =
+        verdict.deadline_missed ? LeaseStatus::kDeadline : LeaseStatus::kQueueFull;
+    callback(LeaseAnswer{status, {}, verdict.retry_after});
+    return;
+  }
+  this->waiting.emplace(waiter, Waiter{request.caller_group, std::move(callback)});
+  if (verdict.displaced) {
+    this->Refuse(*verdict.displaced, LeaseStatus::kQueueFull, FairQueue::kMinRetryAfter);
+  }
+  this->Dispatch();
+  if (this->waiting.count(waiter) != 0) {
+    this->RunLater(request.deadline - this->clock.Now(),
+                   [this, waiter] { this->ExpireWaiter(waiter); });
+  }
+}
+
+void ConnectionPool::Release(const Lease& lease, ConnectionState state) {
+  const auto found = this->connections.find(lease.connection);
+  if (found == this->connections.end() || found->second.lease != lease.number ||
+      lease.number == 0) {
+    return;
+  }
+  Connection& connection = found->second;
+  this->queue.RecordServiceTime(this->clock.Now() - connection.leased_at);
+  const auto group = this->leases_by_group.find(connection.caller_group);
+  if (--group->second == 0) {
+    this->leases_by_group.erase(group);
+  }
+  connection.lease = 0;
+  const bool surplus = this->Total() > static_cast<std::size_t>(this->EffectiveLimit());
+  const bool usable = state == ConnectionState::kClean && !connection.closed_by_server;
+  if (!usable || surplus || this->leaving) {
+    this->Close(lease.connection);
+  } else {
+    this->idle.push_back(lease.connection);
+  }
+  this->Dispatch();
+}
+
+void ConnectionPool::ConnectionClosed(ConnectionId connection) {
+  const auto found = this->connections.find(connection);
+  if (found == this->connections.end()) {
+    return;
+  }
+  if (found->second.lease != 0) {
+    found->second.closed_by_server = true;
+    return;
+  }
+  this->idle.erase(std::find(this->idle.begin(), this->idle.end(), connection));
+  this->Close(connection);
+  this->Dispatch();
+}
+
+void ConnectionPool::SetLimit(int new_limit) {
+  this->limit = std::max(new_limit, 0);
+  this->CloseSurplusIdle();
+  this->Dispatch();
+}
+
+void ConnectionPool::SetLeaving(bool value) {
+  this->leaving = value;
+  if (value) {
+    for (const ConnectionId connection : std::exchange(this->idle, {})) {
+      this->Close(connection);
+    }
+  }
+  this->Dispatch();
+}
+
+int ConnectionPool::EffectiveLimit() const {
+  const TimePoint now = this->clock.Now();
+  const auto in_force = std::count_if(this->reductions.begin(), this->reductions.end(),
+                                      [now](TimePoint end) { return end > now; });
+  return std::max(this->limit - static_cast<int>(in_force), 0);
+}
+
+// Callbacks may call the pool again; such calls only ask for another pass, so that the stack does
+// not grow with the number of waiting requests.
+void ConnectionPool::Dispatch() {
+  this->dispatch_again = true;
+  if (this->dispatching) {
+    return;
+  }
+  this->dispatching = true;
+  while (std::exchange(this->dispatch_again, false)) {
+    this->GrantIdle();
+    this->StartOpens();
+    this->RefuseWithoutConnections();
+  }
+  this->dispatching = false;
+}
+
+void ConnectionPool::GrantIdle() {
+  while (!this->idle.empty() && !this->leaving) {
+    const std::optional<QueueEntry> entry =
+        this->queue.Pop([this](const std::string& group) { return this->MayLease(group); });
+    if (!entry) {
+      return;
+    }
+    this->Grant(*entry);
+  }
+}
+
+void ConnectionPool::Grant(const QueueEntry& entry) {
+  const ConnectionId id = this->idle.back();
+  this->idle.pop_back();
+  Connection& connection = this->connections.at(id);
+  connection.lease = this->next_number++;
+  connection.caller_group = entry.caller_group;
+  connection.leased_at = this->clock.Now();
+  ++this->leases_by_group[entry.caller_group];
+  auto waiter = this->waiting.extract(entry.id);
+  waiter.mapped().callback(LeaseAnswer{LeaseStatus::kGranted, Lease{id, connection.lease}, {}});
+}
+
+bool ConnectionPool::MayLease(const std::string& caller_group) const {
+  if (!this->queue.OthersWait(caller_group)) {
+    return true;
+  }
+  const int share = std::max(this->EffectiveLimit() * 3 / 4, 1);
+  const auto held = this->leases_by_group.find(caller_group);
+  return held == this->leases_by_group.end() || held->second < share;
+}
+
+void ConnectionPool::StartOpens() {
+  while (!this->leaving && this->opens.size() < kMaxConcurrentOpens &&
+         this->opens.size() < this->queue.Size() &&
+         this->Total() < static_cast<std::size_t>(this->EffectiveLimit()) &&
+         this->clock.Now() >= this->opens_paused_until) {
+    this->StartOpen();
+  }
+}
+
+void ConnectionPool::StartOpen() {
+  const std::uint64_t open = this->next_number++;
+  this->opens.insert(open);
+  const std::weak_ptr<bool> guard = this->alive;
+  const std::function<void(ConnectionId)> close = this->hooks.close;
+  this->RunLater(kOpenTimeout, [this, open] {
+    this->FinishOpen(open, OpenResult{OpenStatus::kUnreachable, 0});
+  });
+  this->hooks.open([this, guard, open, close](const OpenResult& result) {
+    if (!guard.expired()) {
+      this->FinishOpen(open, result);
+    } else if (result.status == OpenStatus::kOpened) {
+      close(result.connection);
+    }
+  });
+}
+
+void ConnectionPool::FinishOpen(std::uint64_t open, const OpenResult& result) {
+  const bool expected = this->opens.erase(open) != 0;
+  const bool opened = result.status == OpenStatus::kOpened;
+  if (!expected) {
+    // The answer of a timed-out open, or a second answer.
+    if (opened && this->connections.count(result.connection) == 0) {
+      this->hooks.close(result.connection);
+    }
+    return;
+  }
+  this->last_open = result.status;
+  if (opened) {
+    this->connections.emplace(result.connection, Connection{});
+    this->idle.push_back(result.connection);
+    this->CloseSurplusIdle();
+  } else if (result.status == OpenStatus::kRefused) {
+    this->ReduceLimit();
+  } else {
+    this->opens_paused_until = this->clock.Now() + kUnreachablePause;
+    this->RunLater(kUnreachablePause, [this] { this->Dispatch(); });
+  }
+  this->Dispatch();
+}
+
+void ConnectionPool::ReduceLimit() {
+  this->reductions.push_back(this->clock.Now() + kLimitReduction);
+  this->RunLater(kLimitReduction, [this] {
+    while (!this->reductions.empty() && this->reductions.front() <= this->clock.Now()) {
+      this->reductions.pop_front();
+    }
+    this->Dispatch();
+  });
+}
+
+void ConnectionPool::CloseSurplusIdle() {
+  const auto allowed = static_cast<std::size_t>(this->leaving ? 0 : this->EffectiveLimit());
+  while (!this->idle.empty() && this->Total() > allowed) {
+    const ConnectionId connection = this->idle.front();
+    this->idle.erase(this->idle.begin());
+    this->Close(connection);
+  }
+}
+
+// Nothing that is released or opened can serve the waiting requests any more.
+void ConnectionPool::RefuseWithoutConnections() {
+  if (this->leaving) {
+    this->RefuseAll(LeaseStatus::kLeaving, Duration::zero());
+  } else if (this->Total() == 0 && this->queue.Size() > 0) {
+    const bool unreachable = this->last_open == OpenStatus::kUnreachable && this->limit > 0;
+    this->RefuseAll(unreachable ? LeaseStatus::kUnreachable : LeaseStatus::kConnectionRefused,
+                    unreachable ? kUnreachablePause : kLimitReduction);
+  }
+}
+
+void ConnectionPool::RefuseAll(LeaseStatus status, Duration retry_after) {
+  std::vector<std::uint64_t> waiters;
+  for (const auto& [waiter, unused] : this->waiting) {
+    waiters.push_back(waiter);
+  }
+  for (const std::uint64_t waiter : waiters) {
+    this->Refuse(waiter, status, retry_after);
+  }
+}
+
+void ConnectionPool::Refuse(std::uint64_t waiter, LeaseStatus status, Duration retry_after) {
+  auto found = this->waiting.extract(waiter);
+  if (found.empty()) {
+    return;
+  }
+  this->queue.Remove(found.mapped().caller_group, waiter);
+  found.mapped().callback(LeaseAnswer{status, {}, retry_after});
+}
+
+void ConnectionPool::ExpireWaiter(std::uint64_t waiter) {
+  this->Refuse(waiter, LeaseStatus::kDeadline, FairQueue::kMinRetryAfter);
+  this->Dispatch();
+}
+
+void ConnectionPool::Close(ConnectionId connection) {
+  this->connections.erase(connection);
+  this->hooks.close(connection);
+}
+
+void ConnectionPool::RunLater(Duration delay, std::function<void()> action) {
+  const std::weak_ptr<bool> guard = this->alive;
+  this->scheduler.RunAfter(delay, [guard, action = std::move(action)] {
+    if (!guard.expired()) {
+      action();
+    }
+  });
+}
+
+}  // namespace sycamoredrum
--- /dev/null
+++ b/src/pool/fair_queue_test.cc
@@ -0,0 +1,96 @@
+#include "sycamoredrum/fair_queue.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "sycamoredrum/manual_clock.h"
+
+namespace sycamoredrum {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+bool AnyGroup(const std::string& /*caller_group*/) { return true; }
+
+class FairQueueTest : public testing::Test {
+ protected:
+  QueueVerdict Push(const std::string& group, int weight = 1, Duration remaining = seconds(2)) {
+    return this->queue.Push(
+        QueueEntry{this->next_id++, group, weight, this->clock.Now() + remaining});
+  }
+
+  ManualClock clock;
+  FairQueue queue{clock, 8};
+  std::uint64_t next_id = 1;
+};
+
+// Guards against a caller group that gets a share other than its weight, whatever the order of
+// arrival.
+TEST_F(FairQueueTest, ServesGroupsByWeight) {
+  for (int i = 0; i < 4; ++i) {
+    this->Push("runaway");
+  }
+  for (int i = 0; i < 4; ++i) {
+    this->Push("orders", 3);
+  }
+  std::string order;
+  while (const auto entry = this->queue.Pop(AnyGroup)) {
+    order += entry->caller_group.front();
+  }
+  EXPECT_EQ(order, "rooororr");
+}
+
+// Guards against an entry that waits although its deadline cannot be met, and against refusals
+// that go on after a slow period because no new service time is measured.
+TEST_F(FairQueueTest, RefusesEntriesThatWouldMissTheirDeadline) {
+  this->queue.RecordServiceTime(milliseconds(100));
+  this->queue.SetParallelism(2);
+  EXPECT_TRUE(this->Push("orders", 1, milliseconds(1)).accepted);
+  EXPECT_TRUE(this->Push("orders", 1, milliseconds(50)).accepted);
+  const QueueVerdict refused = this->Push("orders", 1, milliseconds(70));
+  EXPECT_FALSE(refused.accepted);
+  EXPECT_TRUE(refused.deadline_missed);
+  EXPECT_EQ(refused.retry_after, milliseconds(30));
+  EXPECT_TRUE(this->Push("orders", 1, milliseconds(100)).accepted);
+  EXPECT_FALSE(this->Push("orders", 1, milliseconds(0)).accepted);
+}
+
+// Guards against a runaway caller group that fills the queue and shuts all others out.
+TEST_F(FairQueueTest, FullQueueMakesRoomForLighterGroups) {
+  for (int i = 0; i < 8; ++i) {
+    EXPECT_TRUE(this->Push("runaway").accepted);
+  }
+  EXPECT_FALSE(this->Push("runaway").accepted);
+  const QueueVerdict verdict = this->Push("orders");
+  EXPECT_TRUE(verdict.accepted);
+  EXPECT_EQ(verdict.displaced, 8u);
+  EXPECT_EQ(this->queue.Size(), 8u);
+  while (this->Push("orders").accepted) {
+  }
+  std::map<std::string, int> served;
+  while (const auto entry = this->queue.Pop(AnyGroup)) {
+    ++served[entry->caller_group];
+  }
+  EXPECT_EQ(served["orders"], 4);
+  EXPECT_EQ(served["runaway"], 4);
+}
+
+// Guards against an entry that is served after its owner removed it, and against a group without
+// entries that blocks the rotation.
+TEST_F(FairQueueTest, RemovedEntriesAreNotServed) {
+  this->Push("orders");
+  this->Push("stock");
+  EXPECT_TRUE(this->queue.OthersWait("orders"));
+  EXPECT_TRUE(this->queue.Remove("orders", 1));
+  EXPECT_FALSE(this->queue.Remove("orders", 1));
+  EXPECT_TRUE(this->queue.OthersWait("orders"));
+  EXPECT_FALSE(this->queue.OthersWait("stock"));
+  EXPECT_FALSE(this->queue.Pop([](const std::string& group) { return group == "orders"; }));
+  EXPECT_EQ(this->queue.Pop(AnyGroup)->id, 2u);
+  EXPECT_FALSE(this->queue.Pop(AnyGroup));
+}
+
+}  // namespace
+}  // namespace sycamoredrum
