--- /dev/null
+++ b/src/include/sycamoredrum/settings.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "sycamoredrum/clock.h"
+#include "sycamoredrum/finding.h"
+#include "sycamoredrum/log.h"
+#include "sycamoredrum/types.h"
+
+namespace sycamoredrum {
+
+/// Where finished spans go.
+enum class TraceOutput { kNone, kStandardError };
+
+/// Settings of the daemon. Flags go before environment variables, which go before defaults.
+struct ProxySettings {
+  std::string member_id;  ///< Unique in the fleet.
+  std::string data_centre;
+  Endpoint caller_address;      ///< Callers' HTTP port.
+  Endpoint peer_address;        ///< Links from other proxies.
+  Endpoint membership_address;  ///< Membership datagrams (UDP).
+  Endpoint admin_address;       ///< Operators' HTTP port.
+  Endpoint platform_address;    ///< The platform's key-value service and VM list.
+  std::vector<Endpoint> seeds;  ///< Membership addresses of other proxies.
+  std::string fleet_key;        ///< Secret shared by all proxies; at least kMinFleetKeyBytes.
+  LogLevel log_level = LogLevel::kInfo;
+  LogFormat log_format = LogFormat::kText;
+  TraceOutput trace_output = TraceOutput::kNone;
+  double trace_sample_ratio = 0.01;
+  int workers = 4;
+  Duration probe_interval = std::chrono::milliseconds(100);
+  Duration drain_delay = std::chrono::seconds(2);
+  Duration default_deadline = std::chrono::seconds(2);
+  Duration max_deadline = std::chrono::seconds(30);
+  std::size_t max_request_bytes = std::size_t{1024} * 1024;
+  std::size_t max_connections = 10000;
+
+  static constexpr std::size_t kMinFleetKeyBytes = 16;
+};
+
+/// One setting, for help texts and docs/operators/settings.md.
+struct SettingInfo {
+  const char* flag;           ///< Without the leading dashes.
+  const char* default_value;  ///< Empty: the setting is required or has no value by default.
+  const char* help;
+
+  /// "SYCAMOREDRUM_" and the flag in upper case with underscores.
+  std::string EnvironmentVariable() const;
+};
+
+const std::vector<SettingInfo>& SettingTable();
+
+/// Reads an environment variable; returns nothing if it is not set.
+using EnvironmentReader = std::function<std::optional<std::string>(const std::string& name)>;
+
+/// Reads the process environment.
+EnvironmentReader ProcessEnvironment();
+
+/// Parses the arguments after the subcommand. Adds every problem to `findings`, with the flag or
+/// the environment variable as its place, and returns nothing if there is one.
+std::optional<ProxySettings> ParseProxySettings(const std::vector<std::string>& arguments,
+                                                const EnvironmentReader& environment,
+                                                Findings& findings);
+
+/// Lines of a help text for all settings.
+std::string DescribeSettings();
+
+}  // namespace sycamoredrum
--- /dev/null
+++ b/src/proxy/backend_connections.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <absl/base/thread_annotations.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/synchronization/mutex.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "sycamoredrum/backend.h"
+#include "sycamoredrum/connection_pool.h"
+#include "sycamoredrum/http.h"
+
+namespace sycamoredrum {
+
+/// The process's database connections to statement ports (docs/backend-interface.md), by connection
+/// id. Thread-safe; callbacks run on workers of the loop, never inside a method.
+class BackendConnections {
+ public:
+  using ReplyCallback = std::function<void(const std::optional<BackendReply>&)>;
+
+  BackendConnections(EventLoop& loop, HttpClientOptions options);
+
+  /// Connects to a statement port and opens a database connection on it.
+  void Open(const Endpoint& statements, const std::string& database, Duration timeout,
+            OpenCallback callback);
+
+  /// Runs a request. The callback receives nothing if the connection broke or the time ran out;
+  /// the connection must then be closed.
+  void Execute(ConnectionId connection, const BackendRequest& request, Duration timeout,
+               ReplyCallback callback);
+
+  void Close(ConnectionId connection);
+
+ private:
+  using ConnectionPtr = std::shared_ptr<HttpConnection>;
+
+  void SendOpen(const ConnectionPtr& connection, const std::string& database, Duration timeout,
+                OpenCallback callback);
+  ConnectionId Add(ConnectionPtr connection);
+  ConnectionPtr Find(ConnectionId connection);
+
+  EventLoop& loop;
+  const HttpClientOptions options;
+  absl::Mutex mutex;
+  absl::flat_hash_map<ConnectionId, ConnectionPtr> connections ABSL_GUARDED_BY(mutex);
+  ConnectionId next_connection ABSL_GUARDED_BY(mutex) = 1;
+};
+
+}  // namespace sycamoredrum
--- /dev/null
+++ b/src/proxy/locks.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <absl/synchronization/mutex.h>
+
+#include <functional>
+#include <memory>
+#include <utility>
+
+#include "sycamoredrum/clock.h"
+
+namespace sycamoredrum {
+
+/// Runs everything that touches one decision object under one mutex: timers, answers to its hooks,
+/// and calls from other parts of the daemon.
+///
+/// Lock order of the daemon: at most one SerialContext's mutex is held by a thread, and it is taken
+/// first. Code that holds it may take these, each for a few lines and one at a time: the mutexes of
+/// ConfigurationHolder, ViewTable, PeerLinks, Logger, Metrics and the classes of the library net.
+/// To call another context's object, code posts to the event loop.
+class SerialContext : public Scheduler, public std::enable_shared_from_this<SerialContext> {
+ public:
+  static std::shared_ptr<SerialContext> Create(Scheduler& timers) {
+    return std::shared_ptr<SerialContext>(new SerialContext(timers));
+  }
+
+  /// Runs `callback` under the mutex after `delay`, unless Close was called before.
+  void RunAfter(Duration delay, std::function<void()> callback) override {
+    this->timers.RunAfter(delay, this->Wrap(std::move(callback)));
+  }
+
+  /// Returns a callback that runs `callback` under the mutex, unless Close was called before. Must
+  /// not be called by a thread that holds the mutex.
+  template <typename... Args>
+  std::function<void(Args...)> Wrap(std::function<void(Args...)> callback) {
+    return [self = this->shared_from_this(), callback = std::move(callback)](Args... args) {
+      const absl::MutexLock lock(&self->mutex);
+      if (!self->closed) {
+        callback(args...);
+      }
+    };
+  }
+
+  /// Calls `action` under the mutex and returns its result.
+  template <typename Action>
+  auto Run(Action action) {
+    const absl::MutexLock lock(&this->mutex);
+    return action();
+  }
+
+  /// Ends all wrapped callbacks and timers. The decision object may be destroyed afterwards.
+  void Close() {
+    const absl::MutexLock lock(&this->mutex);
+    this->closed = true;
+  }
+
+ private:
+  explicit SerialContext(Scheduler& timers) : timers(timers) {}
+
+  Scheduler& timers;
+  absl::Mutex mutex;
+  bool closed = false;
+};
+
+}  // namespace sycamoredrum
