Add the event loop and the HTTP server, client and connection

Cause: the daemon and the stand-ins need sockets, timers and HTTP/1.1 with errors that tell "certainly not sent" from "may have been received".

Change: EventLoop runs N POSIX threads over one asio context and implements Clock and Scheduler. HttpServer has limits for bodies, headers, receive time and connections, and a shutdown that finishes requests in progress. HttpClient reuses idle connections and never sends a request twice. HttpConnection is one explicit connection; an answer that arrives after a timeout can never be taken for the next one because the connection is closed. An idle connection is checked for a close by the other side before a request is sent on it.

With Drain closing unconditionally, ShutdownFinishesRequestsInProgress fails; with the error after sending reported as "not sent", ClientTellsNotSentFromMaybeReceived and ConnectionIsUnusableAfterATimeout fail; with the check of idle connections switched off, CloseOfAnIdleConnectionIsNoticed does not end within 5 s. All were switched on again.

Conclusion: other libraries can use these interfaces.

--- /dev/null
+++ b/src/net/event_loop.cc
@@ -0,0 +1,80 @@
+#include "sycamoredrum/event_loop.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <stdexcept>
+#include <utility>
+
+#include "event_loop_impl.h"
+
+namespace sycamoredrum {
+namespace {
+
+void* RunWorker(void* io) {
+  static_cast<boost::asio::io_context*>(io)->run();
+  return nullptr;
+}
+
+}  // namespace
+
+void EventLoop::Impl::WaitForSignal() {
+  this->signals.async_wait([this](const boost::system::error_code& error, int signal) {
+    if (error) {
+      return;
+    }
+    this->on_signal(signal);
+    this->WaitForSignal();
+  });
+}
+
+EventLoop::EventLoop(int worker_count) : impl(std::make_unique<Impl>()) {
+  for (int i = 0; i < std::max(worker_count, 1); ++i) {
+    pthread_t worker{};
+    if (pthread_create(&worker, nullptr, &RunWorker, &this->impl->io) != 0) {
+      this->Stop();
+      this->Join();
+      throw std::runtime_error("cannot create a worker thread");
+    }
+    this->impl->workers.push_back(worker);
+  }
+}
+
+EventLoop::~EventLoop() {
+  this->Stop();
+  this->Join();
+}
+
+TimePoint EventLoop::Now() const { return std::chrono::steady_clock::now(); }
+
+void EventLoop::RunAfter(Duration delay, std::function<void()> callback) {
+  auto timer = std::make_shared<boost::asio::steady_timer>(this->impl->io, delay);
+  timer->async_wait(
+      [timer, callback = std::move(callback)](const boost::system::error_code& error) {
+        if (!error) {
+          callback();
+        }
+      });
+}
+
+void EventLoop::Post(std::function<void()> callback) {
+  boost::asio::post(this->impl->io, std::move(callback));
+}
+
+void EventLoop::OnStopSignal(std::function<void(int)> callback) {
+  this->impl->on_signal = std::move(callback);
+  this->impl->signals.add(SIGTERM);
+  this->impl->signals.add(SIGINT);
+  this->impl->WaitForSignal();
+}
+
+void EventLoop::Stop() { this->impl->io.stop(); }
+
+void EventLoop::Join() {
+  for (const pthread_t worker : std::exchange(this->impl->workers, {})) {
+    pthread_join(worker, nullptr);
+  }
+}
+
+}  // namespace sycamoredrum
--- /dev/null
+++ b/src/net/http_message.cc
@@ -0,0 +1,86 @@
+#include <absl/strings/ascii.h>
+#include <absl/strings/escaping.h>
+#include <absl/strings/match.h>
+#include <absl/strings/str_split.h>
+
+#include "sycamoredrum/http.h"
+
+namespace sycamoredrum {
+namespace {
+
+// Debian builds Abseil with its own string_view type.
+absl::string_view View(std::string_view text) { return {text.data(), text.size()}; }
+
+// Decodes %XX and "+". Invalid escapes are kept as they are.
+std::string PercentDecode(std::string_view text) {
+  std::string decoded;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const bool escape = text[i] == '%' && i + 2 < text.size() &&
+                        absl::ascii_isxdigit(text[i + 1]) && absl::ascii_isxdigit(text[i + 2]);
+    if (escape) {
+      decoded += absl::HexStringToBytes(View(text.substr(i + 1, 2)));
+      i += 2;
+    } else {
+      decoded += text[i] == '+' ? ' ' : text[i];
+    }
+  }
+  return decoded;
+}
+
+}  // namespace
+
+std::string_view FindHeader(const HttpHeaders& headers, std::string_view name) {
+  for (const HttpHeader& header : headers) {
+    if (absl::EqualsIgnoreCase(header.name, View(name))) {
+      return header.value;
+    }
+  }
+  return "";
+}
+
+std::vector<std::string_view> FindHeaders(const HttpHeaders& headers, std::string_view name) {
+  std::vector<std::string_view> values;
+  for (const HttpHeader& header : headers) {
+    if (absl::EqualsIgnoreCase(header.name, View(name))) {
+      values.emplace_back(header.value);
+    }
+  }
+  return values;
+}
+
+std::string_view HttpRequest::Path() const {
+  const std::string_view text = this->target;
+  return text.substr(0, text.find('?'));
+}
+
+std::optional<std::string> HttpRequest::QueryParameter(std::string_view name) const {
+  const std::string_view text = this->target;
+  const std::size_t query = text.find('?');
+  if (query == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const std::vector<std::string> parts = absl::StrSplit(View(text.substr(query + 1)), '&');
+  for (const std::string& part : parts) {
+    const std::size_t equals = part.find('=');
+    if (part.substr(0, equals) == name) {
+      return equals == std::string::npos ? "" : PercentDecode(part.substr(equals + 1));
+    }
+  }
+  return std::nullopt;
+}
+
+std::string PercentEncode(std::string_view text) {
+  constexpr std::string_view kUnreserved = "-._~";
+  std::string encoded;
+  for (const char c : text) {
+    if (absl::ascii_isalnum(static_cast<unsigned char>(c)) ||
+        kUnreserved.find(c) != std::string_view::npos) {
+      encoded += c;
+    } else {
+      encoded += "%" + absl::BytesToHexString(absl::string_view(&c, 1));
+    }
+  }
+  return encoded;
+}
+
+}  // namespace sycamoredrum
--- /dev/null
+++ b/src/net/http_session.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <atomic>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "sycamoredrum/http.h"
+
+namespace sycamoredrum {
+
+enum class HttpSessionEvent { kMalformed, kTooLarge, kTimedOut };
+
+/// What a session tells its server.
+struct HttpSessionHooks {
+  std::function<void(const HttpRequest&, HttpRespond)> handle;
+  std::function<void(std::uint64_t connection_id)> closed;  ///< Called once, last of all.
+  std::function<void(HttpSessionEvent)> count;
+};
+
+/// One connection of an HttpServer. All members but `id` and `remote` are used only on the strand
+/// of the socket; the public functions are thread-safe.
+class HttpSession : public std::enable_shared_from_this<HttpSession> {
+ public:
+  HttpSession(boost::asio::ip::tcp::socket socket, std::uint64_t id, Endpoint remote,
+              const HttpServerLimits& limits, HttpSessionHooks hooks);
+
+  void Start();
+  /// Closes the connection if it is idle, otherwise after the response to the present request.
+  void Drain();
+  /// The next responses carry "Connection: close".
+  void AnnounceClose();
+  void Close();
+  void Respond(HttpResponse response);
+
+  std::uint64_t Id() const { return this->id; }
+  const Endpoint& Remote() const { return this->remote; }
+
+ private:
+  enum class Phase { kIdle, kReading, kHandling, kWriting, kLingering, kClosed };
+  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using Response = boost::beast::http::response<boost::beast::http::string_body>;
+
+  bool RequestArrived();
+  void WaitForRequest();
+  void ReadRequest();
+  void OnRequest(const boost::system::error_code& error);
+  void HandleRequest();
+  void RejectRequest(const boost::system::error_code& error);
+  void Write(const HttpResponse& response);
+  void OnWritten(const boost::system::error_code& error);
+  void Linger();
+  void Finish();
+
+  const std::uint64_t id;
+  const Endpoint remote;
+  const HttpServerLimits limits;
+  HttpSessionHooks hooks;
+  boost::beast::tcp_stream stream;
+  boost::beast::flat_buffer buffer;
+  std::optional<Parser> parser;
+  Response response;
+  Phase phase = Phase::kIdle;
+  bool close_after_response = false;
+  bool draining = false;  ///< The connection is closed when no request is in progress.
+  std::size_t lingered_bytes = 0;
+};
+
+}  // namespace sycamoredrum
--- /dev/null
+++ b/src/net/http_stream.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <atomic>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "sycamoredrum/http.h"
+
+namespace sycamoredrum {
+
+/// The socket of one client connection. Operations run on its strand. `open` and `busy` may be read
+/// by any thread.
+class HttpConnection::Stream : public std::enable_shared_from_this<HttpConnection::Stream> {
+ public:
+  Stream(EventLoop& loop, HttpClientOptions options, Endpoint endpoint);
+
+  void Connect(TimePoint deadline, HttpCallback callback);
+  void Send(const HttpRequest& request, TimePoint deadline, HttpCallback callback);
+  void Close();
+  bool IsOpen() const { return this->open; }
+
+ private:
+  using Message = boost::beast::http::request<boost::beast::http::string_body>;
+  using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  void StartConnect(HttpCallback callback);
+  void StartSend(HttpCallback callback);
+  void ReadResponse(HttpCallback callback);
+  void OnResponse(const HttpCallback& callback);
+  void Fail(HttpError error, const std::string& message, const HttpCallback& callback);
+  /// False if the idle connection is readable: the other side closed it or sent a stray answer.
+  bool NothingArrived();
+  /// Closes the connection if it becomes readable while it is idle.
+  void WatchIdle();
+
+  const HttpClientOptions options;
+  const Endpoint endpoint;
+  boost::beast::tcp_stream stream;
+  boost::beast::flat_buffer buffer;
+  std::optional<Parser> parser;
+  Message message;
+  std::atomic<bool> open{false};
+  std::atomic<bool> busy{false};  ///< Connect or Send is in progress.
+  bool closed = false;            ///< Close was called; used on the strand.
+};
+
+}  // namespace sycamoredrum
--- /dev/null
+++ b/src/net/http_test.cc
@@ -0,0 +1,326 @@
+#include "sycamoredrum/http.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <csignal>
+#include <future>
+#include <thread>
+
+#include "raw_socket.h"
+
+namespace sycamoredrum {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr seconds kTestLimit{10};
+
+// Echoes the request body; paths choose the behaviour.
+class HttpTest : public testing::Test {
+ protected:
+  void StartServer(HttpServerLimits limits = {}) {
+    HttpServerHooks hooks;
+    hooks.handle = [this](const HttpRequest& request, HttpRespond respond) {
+      ++this->handled;
+      HttpResponse response;
+      response.body = request.body;
+      if (request.Path() == "/late") {
+        const auto delay = milliseconds(std::stoi(*request.QueryParameter("ms")));
+        this->loop.RunAfter(delay, [respond, response] { respond(response); });
+      } else if (request.Path() != "/drop") {
+        respond(response);
+      }
+    };
+    hooks.closed = [this](std::uint64_t) { ++this->closed; };
+    this->server = std::make_unique<HttpServer>(this->loop, limits, std::move(hooks));
+    const auto port = this->server->Listen(Endpoint{"127.0.0.1", 0});
+    ASSERT_TRUE(port.has_value()) << this->server->LastReason();
+    this->endpoint = Endpoint{"127.0.0.1", *port};
+  }
+  void TearDown() override {
+    this->loop.Stop();
+    this->loop.Join();
+  }
+
+  static HttpRequest Post(const std::string& target, const std::string& body) {
+    HttpRequest request;
+    request.method = "POST";
+    request.target = target;
+    request.body = body;
+    return request;
+  }
+  HttpResult Call(HttpClient& client, const Endpoint& to, const HttpRequest& request,
+                  Duration timeout = kTestLimit) {
+    std::promise<HttpResult> promise;
+    client.Call(to, request, timeout,
+                [&promise](const HttpResult& result) { promise.set_value(result); });
+    return promise.get_future().get();
+  }
+  HttpResult Connect(HttpConnection& connection) {
+    std::promise<HttpResult> promise;
+    connection.Connect(kTestLimit,
+                       [&promise](const HttpResult& result) { promise.set_value(result); });
+    return promise.get_future().get();
+  }
+  HttpResult Send(HttpConnection& connection, const HttpRequest& request,
+                  Duration timeout = kTestLimit) {
+    std::promise<HttpResult> promise;
+    connection.Send(request, timeout,
+                    [&promise](const HttpResult& result) { promise.set_value(result); });
+    return promise.get_future().get();
+  }
+
+  EventLoop loop{3};
+  std::atomic<int> handled{0};
+  std::atomic<int> closed{0};
+  std::unique_ptr<HttpServer> server;
+  Endpoint endpoint;
+};
+
+// Guards against a faulty request that reaches the handler, hangs the connection, or gets no
+// reason.
+TEST_F(HttpTest, FaultyRequestsAreAnsweredAndNeverHandled) {
+  HttpServerLimits limits;
+  limits.max_body_bytes = 64;
+  limits.max_header_bytes = 512;
+  limits.request_timeout = milliseconds(200);
+  limits.idle_timeout = milliseconds(200);
+  this->StartServer(limits);
+  struct Case {
+    const char* name;
+    std::string bytes;
+    const char* answer;  // Expected in the answer; empty: closed without an answer.
+  };
+  const Case cases[] = {
+      {"nonsense", "nonsense\r\n\r\n", "400 Bad Request"},
+      {"bad version", "GET / HTTP/9.9\r\n\r\n", "400 Bad Request"},
+      {"bad header", "GET / HTTP/1.1\r\nno colon\r\n\r\n", "malformed_request"},
+      {"bad length", "POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n", "malformed_request"},
+      {"bad chunk", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "400 Bad"},
+      {"long body", "POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n" + std::string(65, 'x'),
+       "413 Payload Too Large"},
+      {"long header", "GET / HTTP/1.1\r\nX: " + std::string(600, 'x') + "\r\n\r\n", "431 "},
+      {"slow header", "GET / HTTP/1.1\r\n", ""},
+      {"slow body", "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc", ""},
+      {"silent", "", ""},
+  };
+  for (const Case& c : cases) {
+    const RawSocket socket = RawSocket::ConnectTo(this->endpoint.port);
+    socket.Send(c.bytes);
+    const std::string answer = socket.ReceiveUntil("");
+    EXPECT_NE(answer.find(c.answer), std::string::npos) << c.name << ": " << answer;
+    EXPECT_EQ(answer.empty(), std::string(c.answer).empty()) << c.name << ": " << answer;
+  }
+  EXPECT_EQ(this->handled, 0);
+  const HttpServerStats stats = this->server->Stats();
+  EXPECT_EQ(stats.malformed, 5U);
+  EXPECT_EQ(stats.too_large, 2U);
+  EXPECT_EQ(stats.timed_out, 2U);
+}
+
+// Guards against a request cut off in the middle being handled, and against lost close reports.
+TEST_F(HttpTest, CutRequestIsNotHandledAndTheCloseIsReported) {
+  this->StartServer();
+  {
+    const RawSocket socket = RawSocket::ConnectTo(this->endpoint.port);
+    socket.Send("POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc");
+  }
+  while (this->closed == 0) {
+    std::this_thread::yield();
+  }
+  EXPECT_EQ(this->handled, 0);
+}
+
+// Guards against more connections than the limit.
+TEST_F(HttpTest, ConnectionsOverTheLimitAreClosed) {
+  HttpServerLimits limits;
+  limits.max_connections = 1;
+  this->StartServer(limits);
+  const RawSocket first = RawSocket::ConnectTo(this->endpoint.port);
+  first.Send("GET / HTTP/1.1\r\n\r\n");
+  EXPECT_NE(first.ReceiveUntil("\r\n\r\n").find("200 OK"), std::string::npos);
+  const RawSocket second = RawSocket::ConnectTo(this->endpoint.port);
+  EXPECT_EQ(second.ReceiveUntil(""), "");
+  EXPECT_EQ(this->server->Stats().refused, 1U);
+}
+
+// Guards against answers that reach the wrong caller when they come late and out of order.
+TEST_F(HttpTest, LateAnswersReachTheirOwnCallers) {
+  this->StartServer();
+  HttpClient client(this->loop, HttpClientOptions{});
+  constexpr int kCalls = 60;
+  std::vector<std::promise<HttpResult>> results(kCalls);
+  for (int round = 0; round < 3; ++round) {
+    results = std::vector<std::promise<HttpResult>>(kCalls);
+    for (int i = 0; i < kCalls; ++i) {
+      const std::string target = "/late?ms=" + std::to_string((kCalls - i) / 4);
+      client.Call(this->endpoint, Post(target, std::to_string(i)), kTestLimit,
+                  [&results, i](const HttpResult& result) { results[i].set_value(result); });
+    }
+    for (int i = 0; i < kCalls; ++i) {
+      const HttpResult result = results[i].get_future().get();
+      EXPECT_TRUE(result.Ok()) << result.message;
+      EXPECT_EQ(result.response.body, std::to_string(i));
+    }
+  }
+  EXPECT_LT(this->server->Stats().accepted, 3U * kCalls);  // Connections are reused.
+}
+
+// Guards against a shutdown that cuts off a request in progress or leaves connections open.
+TEST_F(HttpTest, ShutdownFinishesRequestsInProgress) {
+  this->StartServer();
+  HttpClient client(this->loop, HttpClientOptions{});
+  EXPECT_TRUE(this->Call(client, this->endpoint, Post("/", "")).Ok());
+  std::promise<HttpResult> late;
+  std::promise<void> done;
+  client.Call(this->endpoint, Post("/late?ms=150", "x"), kTestLimit,
+              [&late](const HttpResult& result) { late.set_value(result); });
+  const RawSocket idle = RawSocket::ConnectTo(this->endpoint.port);
+  while (this->handled < 2 || this->server->Stats().open < 2) {
+    std::this_thread::yield();
+  }
+  this->server->Shutdown([&done] { done.set_value(); });
+  EXPECT_EQ(idle.ReceiveUntil(""), "");
+  const HttpResult result = late.get_future().get();
+  EXPECT_EQ(result.response.body, "x") << result.message;
+  EXPECT_TRUE(result.response.close);
+  EXPECT_EQ(done.get_future().wait_for(kTestLimit), std::future_status::ready);
+  EXPECT_EQ(this->Call(client, this->endpoint, Post("/", "")).error, HttpError::kNotSent);
+}
+
+// Guards against a failure being reported as "not sent" when the server may have run the request,
+// against truncated answers, and against a request that is sent twice.
+TEST_F(HttpTest, ClientTellsNotSentFromMaybeReceived) {
+  struct Case {
+    const char* name;
+    std::string answer;  // Sent by the server, which then closes.
+    bool keep_open;      // The server stays silent after its answer instead.
+  };
+  const Case cases[] = {
+      {"close without answer", "", false},
+      {"silence", "", true},
+      {"truncated header", "HTTP/1.1 200 OK\r\nContent-Le", false},
+      {"truncated body", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc", false},
+      {"slow body", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc", true},
+      {"truncated chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", false},
+      {"nonsense", "nonsense\r\n\r\n", false},
+      {"too large", "HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n", false},
+  };
+  HttpClientOptions options;
+  options.max_response_bytes = 1000;
+  HttpClient client(this->loop, options);
+  for (const Case& c : cases) {
+    const RawSocket listener = RawSocket::ListenOnLoopback();
+    std::promise<HttpResult> promise;
+    client.Call(listener.LocalEndpoint(), Post("/", "x"), milliseconds(400),
+                [&promise](const HttpResult& result) { promise.set_value(result); });
+    RawSocket socket = listener.Accept();
+    socket.ReceiveUntil("\r\n\r\nx");
+    socket.Send(c.answer);
+    if (!c.keep_open) {
+      socket.Close();
+    }
+    const HttpResult result = promise.get_future().get();
+    EXPECT_EQ(result.error, HttpError::kMaybeReceived) << c.name << ": " << result.message;
+    EXPECT_TRUE(result.response.body.empty()) << c.name;
+    pollfd again{RawSocket::Descriptor(listener), POLLIN, 0};
+    EXPECT_EQ(poll(&again, 1, 20), 0) << c.name << ": the request was sent again";
+  }
+}
+
+// Guards against "may have been received" where the request cannot have reached the server.
+TEST_F(HttpTest, FailedConnectsAreNotSent) {
+  HttpClient client(this->loop, HttpClientOptions{});
+  RawSocket listener = RawSocket::ListenOnLoopback();
+  const Endpoint refused = listener.LocalEndpoint();
+  listener.Close();
+  EXPECT_EQ(this->Call(client, refused, Post("/", "")).error, HttpError::kNotSent);
+  EXPECT_EQ(this->Call(client, Endpoint{"no-number", 80}, Post("/", "")).error,
+            HttpError::kNotSent);
+  // With a full backlog the system ignores further connection requests.
+  const RawSocket full = RawSocket::ListenOnLoopback(0);
+  const RawSocket filler = RawSocket::ConnectTo(full.LocalEndpoint().port);
+  const HttpResult result =
+      this->Call(client, full.LocalEndpoint(), Post("/", ""), milliseconds(200));
+  EXPECT_EQ(result.error, HttpError::kNotSent) << result.message;
+}
+
+// Guards against a late answer being taken for the answer to the next request.
+TEST_F(HttpTest, ConnectionIsUnusableAfterATimeout) {
+  this->StartServer();
+  HttpConnection connection(this->loop, HttpClientOptions{}, this->endpoint);
+  ASSERT_TRUE(this->Connect(connection).Ok());
+  EXPECT_TRUE(this->Send(connection, Post("/", "1")).Ok());
+  EXPECT_EQ(this->Send(connection, Post("/late?ms=100", "2"), milliseconds(20)).error,
+            HttpError::kMaybeReceived);
+  EXPECT_FALSE(connection.IsOpen());
+  EXPECT_EQ(this->Send(connection, Post("/", "3")).error, HttpError::kNotSent);
+}
+
+// Guards against two requests on one database connection at the same time.
+TEST_F(HttpTest, ConnectionCarriesOneRequestAtATime) {
+  this->StartServer();
+  HttpConnection connection(this->loop, HttpClientOptions{}, this->endpoint);
+  ASSERT_TRUE(this->Connect(connection).Ok());
+  std::promise<HttpResult> first;
+  connection.Send(Post("/late?ms=100", "1"), kTestLimit,
+                  [&first](const HttpResult& result) { first.set_value(result); });
+  EXPECT_EQ(this->Send(connection, Post("/", "2")).error, HttpError::kNotSent);
+  EXPECT_EQ(first.get_future().get().response.body, "1");
+  EXPECT_EQ(this->Send(connection, Post("/", "3")).response.body, "3");
+}
+
+// Guards against a request being sent on a connection that the server closed while it was idle.
+TEST_F(HttpTest, CloseOfAnIdleConnectionIsNoticed) {
+  this->StartServer();
+  HttpConnection connection(this->loop, HttpClientOptions{}, this->endpoint);
+  ASSERT_TRUE(this->Connect(connection).Ok());
+  EXPECT_TRUE(this->Send(connection, Post("/", "1")).Ok());
+  this->server->CloseConnectionsFrom("127.0.0.1");
+  while (connection.IsOpen()) {
+    std::this_thread::yield();
+  }
+  EXPECT_EQ(this->Send(connection, Post("/", "2")).error, HttpError::kNotSent);
+  EXPECT_EQ(this->handled, 1);
+}
+
+// Guards against a connection that hangs because its handler forgot to answer.
+TEST_F(HttpTest, DroppedRespondGivesStatus500) {
+  this->StartServer();
+  HttpClient client(this->loop, HttpClientOptions{});
+  EXPECT_EQ(this->Call(client, this->endpoint, Post("/drop", "")).response.status, 500);
+}
+
+// Guards against values that change when they pass through a query.
+TEST(HttpMessageTest, QueryParametersAreDecoded) {
+  HttpRequest request;
+  request.target = "/a?b=" + PercentEncode("x/ y&%") + "&c&d=1+2";
+  EXPECT_EQ(request.Path(), "/a");
+  EXPECT_EQ(request.QueryParameter("b"), "x/ y&%");
+  EXPECT_EQ(request.QueryParameter("c"), "");
+  EXPECT_EQ(request.QueryParameter("d"), "1 2");
+  EXPECT_FALSE(request.QueryParameter("e").has_value());
+}
+
+// Guards against early timers, lost callbacks and an ignored stop signal.
+TEST(EventLoopTest, RunsTimersPostsAndSignals) {
+  EventLoop loop(2);
+  std::promise<TimePoint> timer;
+  std::promise<int> signal;
+  std::promise<void> posted;
+  const TimePoint start = loop.Now();
+  loop.RunAfter(milliseconds(20), [&] { timer.set_value(loop.Now()); });
+  loop.Post([&] { loop.Post([&] { posted.set_value(); }); });
+  loop.OnStopSignal([&](int number) { signal.set_value(number); });
+  EXPECT_GE(timer.get_future().get() - start, milliseconds(20));
+  posted.get_future().get();
+  raise(SIGTERM);
+  EXPECT_EQ(signal.get_future().get(), SIGTERM);
+  loop.Stop();
+  loop.Join();
+}
+
+}  // namespace
+}  // namespace sycamoredrum
