Add the holder service and the acknowledgement rule

Cause: a request must end with an outcome that its caller can rely on, whichever hop fails, and a write may be acknowledged only when a promotion cannot lose it. Change: HolderService runs single requests on pooled connections: queue, lease, send, classify, and for writes the acknowledgement rule (copies, and a majority of promised terms not above the term of the write). A record of an earlier term is confirmed through the primary's last position, which must belong to the present term: a majority that holds only the old entry does not protect it from a server whose log ends in a later term. Measured: holder_service_test passes, 10 tests. Switched off one at a time, each made a test fail: the count of copies, the count of promised terms, the check for a higher promised term, the confirmation in the present term, the deadline check before sending, the check for missing results, the closing of lost connections, and the guard against double answers. Without the guard against double wait answers the test program does not end within 60 s, because the waits multiply.

--- /dev/null
+++ b/src/include/sycamoredrum/holder_service.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "sycamoredrum/backend.h"
+#include "sycamoredrum/clock.h"
+#include "sycamoredrum/configuration.h"
+#include "sycamoredrum/connection_pool.h"
+#include "sycamoredrum/request.h"
+#include "sycamoredrum/types.h"
+
+namespace sycamoredrum {
+
+/// Answer of a backend server's control port to `wait`.
+struct WaitReply {
+  bool contains = false;        ///< The server holds the position.
+  bool not_in_history = false;  ///< Another entry stands at the position.
+  std::uint64_t promised_term = 0;
+};
+
+/// Nothing means that the connection broke or that the answer did not arrive in time.
+using BackendCallback = std::function<void(const std::optional<BackendReply>&)>;
+using WaitCallback = std::function<void(const std::optional<WaitReply>&)>;
+
+/// Side effects of a holder. Late and repeated callbacks are ignored.
+struct HolderHooks {
+  /// Present configuration of a database; nullptr if there is no such database.
+  std::function<std::shared_ptr<const DatabaseConfig>(const std::string& database)> database;
+  /// Configured weight of a caller group.
+  std::function<int(const std::string& caller_group)> group_weight;
+  /// Pool of a backend server; nullptr if this proxy holds no connections to it.
+  std::function<ConnectionPool*(const std::string& backend_server)> pool;
+  /// Sends a request on a leased connection.
+  std::function<void(ConnectionId, const BackendRequest&, Duration timeout, BackendCallback)>
+      execute;
+  /// Asks a backend server to answer once it contains a position; it may also answer earlier.
+  std::function<void(const std::string& backend_server, const LogPosition&, Duration timeout,
+                     WaitCallback)>
+      wait_position;
+};
+
+class BackendCaller;
+
+/// Runs requests that are a whole transaction on the connections of this proxy. Never retries.
+/// Not thread-safe.
+class HolderService {
+ public:
+  HolderService(HolderHooks hooks, const Clock& clock, Scheduler& scheduler);
+  ~HolderService();
+
+  /// Calls back exactly once while the service exists. The outcome is kNotRun only if the request
+  /// certainly has no effect: it was not sent, or the backend server refused it. A write has the
+  /// outcome kResult only if the acknowledgement rule is met, also when its results come from a
+  /// request record.
+  void Execute(const ExecuteCommand& command, ExecuteCallback callback);
+
+  /// Requests without an answer.
+  std::size_t InProgress() const;
+
+ private:
+  std::shared_ptr<BackendCaller> caller;
+};
+
+}  // namespace sycamoredrum
--- /dev/null
+++ b/src/request/holder_service.cc
@@ -0,0 +1,71 @@
+#include "sycamoredrum/holder_service.h"
+
+#include <utility>
+
+#include "backend_caller.h"
+
+namespace sycamoredrum {
+namespace {
+
+// Runs a single request on its leased connection.
+void RunSingle(const std::shared_ptr<BackendCaller>& caller, const ExecuteCommand& command,
+               const BackendLease& lease, TimePoint deadline, ExecuteCallback callback) {
+  const std::weak_ptr<BackendCaller> guard = caller;
+  caller->Send(lease, command.request, deadline,
+               [guard, command, lease, deadline,
+                callback = std::move(callback)](const std::optional<BackendReply>& reply) {
+                 const std::shared_ptr<BackendCaller> self = guard.lock();
+                 if (!self) {
+                   return;
+                 }
+                 if (!reply) {
+                   self->Release(lease, ConnectionState::kBroken);
+                   callback(ExecuteAnswer::Unknown(
+                       Reason::kConnectionLost,
+                       "the connection broke or no answer came before the deadline"));
+                 } else if (reply->error != BackendError::kNone) {
+                   self->Release(lease, StateAfter(command.request, *reply));
+                   callback(RefusalAnswer(*reply));
+                 } else {
+                   self->Finish(command, lease, *reply, deadline, callback);
+                 }
+               });
+}
+
+}  // namespace
+
+HolderService::HolderService(HolderHooks hooks, const Clock& clock, Scheduler& scheduler)
+    : caller(std::make_shared<BackendCaller>(std::move(hooks), clock, scheduler)) {}
+
+HolderService::~HolderService() = default;
+
+void HolderService::Execute(const ExecuteCommand& command, ExecuteCallback callback) {
+  const std::weak_ptr<BackendCaller> guard = this->caller;
+  ++this->caller->in_progress;
+  const ExecuteCallback finish = [guard, server = command.backend_server,
+                                  callback = std::move(callback)](const ExecuteAnswer& answer) {
+    if (const std::shared_ptr<BackendCaller> self = guard.lock()) {
+      --self->in_progress;
+    }
+    ExecuteAnswer named = answer;
+    named.backend_server = server;
+    callback(named);
+  };
+  if (command.request.step != TransactionStep::kSingle || !command.transaction.empty()) {
+    finish(ExecuteAnswer::NotRun(Reason::kBadRequest, "the request is part of a transaction"));
+    return;
+  }
+  const TimePoint deadline = this->caller->GetClock().Now() + command.remaining;
+  this->caller->LeaseFor(
+      command, deadline,
+      [guard, command, deadline, finish](const BackendLease& lease) {
+        if (const std::shared_ptr<BackendCaller> self = guard.lock()) {
+          RunSingle(self, command, lease, deadline, finish);
+        }
+      },
+      finish);
+}
+
+std::size_t HolderService::InProgress() const { return this->caller->in_progress; }
+
+}  // namespace sycamoredrum
--- /dev/null
+++ b/src/request/write_confirmation.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "sycamoredrum/clock.h"
+#include "sycamoredrum/configuration.h"
+#include "sycamoredrum/holder_service.h"
+
+namespace sycamoredrum {
+
+/// A write that ran on a primary and waits for its acknowledgement.
+struct WriteToConfirm {
+  DatabaseConfig database;
+  std::string primary;     ///< Backend server that ran the write in `term`; counts as one copy.
+  std::uint64_t term = 0;  ///< Term in which the primary answered.
+  LogPosition position;    ///< Position of `term` at or after the write.
+  TimePoint deadline;
+};
+
+enum class Confirmation {
+  kConfirmed,
+  kFenced,       ///< Too many backend servers have promised a higher term.
+  kUnconfirmed,  ///< The deadline passed, or the database has too few backend servers.
+};
+
+/// Applies the acknowledgement rule: `acknowledge_copies` backend servers contain the position, and
+/// a majority reported, after the write ran, a promised term not above `term`. Asks a backend
+/// server again after a failed answer. Calls back exactly once, not after the deadline.
+void ConfirmWrite(const HolderHooks& hooks, const Clock& clock, Scheduler& scheduler,
+                  const WriteToConfirm& write, std::function<void(Confirmation)> callback);
+
+}  // namespace sycamoredrum
