Add the request executor

Cause: the entry proxy needs one place that decides where a request runs, when it is tried again and which outcome its caller may rely on. Change: RequestExecutor for reads, single writes and steps of interactive transactions, without I/O. The contract in request_executor.h states the outcome rule: after an unknown attempt not_run is never reported, and failed only with a request id and a higher term. A duplicate answer does not clear the mark uncertain, because a recorded position may be older than other writes of the session. Measured: request_executor_test passes (6 tests, tables of 18 write, 11 read and 12 transaction cases). Conclusion: the decisions hold against scripted answers; interleavings are not covered yet.

--- /dev/null
+++ b/src/request/request_executor_test.cc
@@ -0,0 +1,400 @@
+#include "sycamoredrum/request_executor.h"
+
+#include <gtest/gtest.h>
+
+#include "sycamoredrum/manual_clock.h"
+
+namespace sycamoredrum {
+namespace {
+
+using std::chrono::milliseconds;
+
+ExecuteAnswer Result(LogPosition position = {1, 9}, bool duplicate = false) {
+  ExecuteAnswer answer;
+  answer.outcome = Outcome::kResult;
+  answer.results = {"v"};
+  answer.position = position;
+  answer.duplicate = duplicate;
+  return answer;
+}
+
+ExecuteAnswer Failed() {
+  ExecuteAnswer answer;
+  answer.outcome = Outcome::kFailed;
+  answer.reason = Reason::kStatement;
+  return answer;
+}
+
+ExecuteAnswer NotRun(Reason reason) { return ExecuteAnswer::NotRun(reason, ""); }
+const ExecuteAnswer kUnknown = ExecuteAnswer::Unknown(Reason::kConnectionLost, "");
+
+/// Answer of the n-th attempt; none: the answer is lost. `next_term` promotes before the next view.
+struct Attempt {
+  std::optional<ExecuteAnswer> answer;
+  bool next_term = false;
+};
+
+/// One executor in front of scripted holders. Server p is primary; l and r are replicas.
+struct Bench {
+  Bench() {
+    RequestExecutorHooks hooks;
+    hooks.view = [this](const std::string&) { return this->View(); };
+    hooks.prove = [this](const std::string&, TimePoint not_before, TimePoint, ProveCallback done) {
+      ++this->proofs_asked;
+      this->proven_at = std::max(this->proven_at, not_before);
+      done(this->proof_available ? this->View() : nullptr);
+      done(nullptr);
+    };
+    hooks.send = [this](const ExecuteCommand& command, TimePoint, ExecuteCallback done) {
+      this->sent.push_back(command);
+      if (this->script.empty()) {
+        return;
+      }
+      const Attempt attempt = this->script.front();
+      this->script.erase(this->script.begin());
+      this->term += attempt.next_term ? 1 : 0;
+      if (attempt.answer) {
+        done(*attempt.answer);
+        done(Result({9, 9}));
+      }
+    };
+    hooks.database = [this](const std::string&) { return this->config; };
+    hooks.max_read_age = [](const std::string&) { return std::make_optional(milliseconds(500)); };
+    hooks.new_request_id = [] { return "generated"; };
+    hooks.take_retry = [this](const std::string&) { return this->retries-- > 0; };
+    this->executor = std::make_unique<RequestExecutor>("east", std::move(hooks), this->clock,
+                                                       this->clock, [] { return 7; });
+  }
+
+  DatabaseViewPtr View() {
+    std::vector<BackendServerView> servers;
+    DatabaseConfig database;
+    for (const char* id : {"p", "l", "r"}) {
+      BackendServerStatus status;
+      status.role = id[0] == 'p' ? Role::kPrimary : Role::kReplica;
+      status.term = status.promised_term = this->term;
+      status.last_index = 20;
+      status.history = TermHistory({{1, 1}}).WithTerm(this->term, 15);
+      servers.push_back(BackendServerView{id, true, status, this->proven_at});
+      database.backend_servers.push_back(BackendServerConfig{});
+      database.backend_servers.back().id = id;
+    }
+    this->config = std::make_shared<const DatabaseConfig>(database);
+    DatabaseView view = BuildDatabaseView("d", servers, this->proven_at, std::nullopt);
+    if (!this->proof_available) {
+      view.proof.reset();
+    }
+    return std::make_shared<const DatabaseView>(view);
+  }
+
+  RequestAnswer Run(CallerRequest request) {
+    request.database = "d";
+    request.statements = {"S"};
+    request.arrival = this->clock.Now();
+    request.deadline = request.arrival + milliseconds(2000);
+    this->View();
+    std::vector<RequestAnswer> answers;
+    this->executor->Execute(request, [&](const RequestAnswer& a) { answers.push_back(a); });
+    this->clock.Advance(milliseconds(2000));
+    EXPECT_EQ(answers.size(), 1U);
+    EXPECT_EQ(this->executor->InProgress(), 0U);
+    return answers.at(0);
+  }
+
+  ManualClock clock;
+  std::uint64_t term = 1;
+  TimePoint proven_at = this->clock.Now() - milliseconds(100);
+  bool proof_available = true;
+  int proofs_asked = 0;
+  int retries = 100;
+  std::vector<Attempt> script;
+  std::vector<ExecuteCommand> sent;
+  std::shared_ptr<const DatabaseConfig> config;
+  std::unique_ptr<RequestExecutor> executor;
+};
+
+enum class Kind { kWithId, kIdempotent };
+
+// Guards against a write that is reported as not run or failed although an attempt may have run,
+// that is sent without the id that makes a second run harmless, or that is given up too early.
+TEST(RequestExecutorTest, WriteOutcomes) {
+  const ExecuteAnswer fenced = NotRun(Reason::kFenced);
+  const struct {
+    const char* name;
+    Kind kind;
+    std::vector<Attempt> script;
+    Outcome outcome;
+    int attempts;
+  } cases[] = {
+      {"result", Kind::kWithId, {{Result()}}, Outcome::kResult, 1},
+      {"failed", Kind::kWithId, {{Failed()}}, Outcome::kFailed, 1},
+      {"queue full", Kind::kWithId, {{NotRun(Reason::kQueueFull)}}, Outcome::kNotRun, 1},
+      {"fenced once", Kind::kWithId, {{fenced, true}, {Result()}}, Outcome::kResult, 2},
+      {"fenced, no new primary", Kind::kWithId, {{fenced}}, Outcome::kNotRun, 1},
+      {"refused",
+       Kind::kWithId,
+       {{NotRun(Reason::kConnectionRefused)}, {Result()}},
+       Outcome::kResult,
+       2},
+      {"no holder",
+       Kind::kIdempotent,
+       {{NotRun(Reason::kHolderUnreachable)}, {Result()}},
+       Outcome::kResult,
+       2},
+      {"not primary",
+       Kind::kWithId,
+       {{NotRun(Reason::kNoPrimary), true}, {Result()}},
+       Outcome::kResult,
+       2},
+      {"unknown, result", Kind::kWithId, {{kUnknown}, {Result()}}, Outcome::kResult, 2},
+      {"unknown, result", Kind::kIdempotent, {{kUnknown}, {Result()}}, Outcome::kResult, 2},
+      {"lost, result", Kind::kWithId, {{std::nullopt}, {Result()}}, Outcome::kResult, 2},
+      {"unknown, queue full",
+       Kind::kWithId,
+       {{kUnknown}, {NotRun(Reason::kQueueFull)}},
+       Outcome::kUnknown,
+       2},
+      {"unknown, fenced", Kind::kWithId, {{kUnknown}, {fenced}}, Outcome::kUnknown, 2},
+      {"lost, queue full",
+       Kind::kIdempotent,
+       {{std::nullopt}, {NotRun(Reason::kQueueFull)}},
+       Outcome::kUnknown,
+       2},
+      {"unknown, failed in the same term",
+       Kind::kWithId,
+       {{kUnknown}, {Failed()}},
+       Outcome::kUnknown,
+       2},
+      {"unknown, failed in a later term",
+       Kind::kWithId,
+       {{kUnknown, true}, {Failed()}},
+       Outcome::kFailed,
+       2},
+      {"unknown, failed in a later term",
+       Kind::kIdempotent,
+       {{kUnknown, true}, {Failed()}},
+       Outcome::kUnknown,
+       2},
+      {"unknown in both terms, failed",
+       Kind::kWithId,
+       {{kUnknown, true}, {kUnknown}, {Failed()}},
+       Outcome::kUnknown,
+       3},
+  };
+  for (const auto& item : cases) {
+    Bench bench;
+    bench.script = item.script;
+    CallerRequest request;
+    request.idempotent = item.kind == Kind::kIdempotent;
+    const RequestAnswer answer = bench.Run(request);
+    const std::string name = std::string(item.name) + (request.idempotent ? ", idempotent" : "");
+    EXPECT_EQ(answer.answer.outcome, item.outcome) << name;
+    EXPECT_EQ(answer.attempts, item.attempts) << name;
+    const bool unknown = item.outcome == Outcome::kUnknown;
+    const bool result = item.outcome == Outcome::kResult;
+    EXPECT_EQ(answer.session.For("d").uncertain, !result) << name;
+    EXPECT_EQ(answer.session.Positions().size(), result || unknown ? 1U : 0U) << name;
+    for (const ExecuteCommand& command : bench.sent) {
+      EXPECT_EQ(command.request.request_id, request.idempotent ? "" : "generated") << name;
+      EXPECT_EQ(command.request.fingerprint, bench.sent[0].request.fingerprint) << name;
+      EXPECT_TRUE(command.request.write) << name;
+      EXPECT_EQ(command.backend_server, "p") << name;
+    }
+  }
+}
+
+// Guards against retries beyond the budget, and against a write that is lost to a caller because
+// the last attempt was still in flight at the deadline.
+TEST(RequestExecutorTest, BudgetAndDeadlineBoundRetries) {
+  Bench bench;
+  bench.retries = 0;
+  bench.script = {{NotRun(Reason::kConnectionRefused)}, {Result()}};
+  EXPECT_EQ(bench.Run({}).answer.outcome, Outcome::kNotRun);
+  EXPECT_EQ(bench.sent.size(), 1U);
+  Bench silent;
+  const RequestAnswer answer = silent.Run({});
+  EXPECT_EQ(answer.answer.outcome, Outcome::kUnknown);
+  EXPECT_EQ(answer.answer.reason, Reason::kDeadline);
+  EXPECT_GT(answer.attempts, 1);
+}
+
+// Guards against a mark that a recorded (older) position clears, or that stays for ever.
+TEST(RequestExecutorTest, WritesUpdateTheSession) {
+  const struct {
+    SessionPosition before;
+    ExecuteAnswer answer;
+    SessionPosition after;
+  } cases[] = {
+      {{{1, 3}, false}, Result({1, 9}), {{1, 9}, false}},
+      {{{1, 3}, true}, Result({1, 9}), {{1, 9}, false}},
+      {{{1, 3}, true}, Result({1, 9}, true), {{1, 9}, true}},
+      {{{2, 3}, true}, Result({1, 9}), {{2, 3}, true}},
+      {{{1, 3}, false}, NotRun(Reason::kQueueFull), {{1, 3}, false}},
+  };
+  for (const auto& item : cases) {
+    Bench bench;
+    bench.script = {{item.answer}};
+    CallerRequest request;
+    request.session = SessionToken().With("d", item.before.position, item.before.uncertain);
+    EXPECT_EQ(bench.Run(request).session.For("d"), item.after);
+  }
+}
+
+// Guards against a stale read, against a read refused although another server can serve it, and
+// against an uncertain session that never becomes certain.
+TEST(RequestExecutorTest, Reads) {
+  const SessionToken known = SessionToken().With("d", {1, 3}, false);
+  const SessionToken later = SessionToken().With("d", {1, 25}, false);
+  const SessionToken uncertain = SessionToken().With("d", {1, 3}, true);
+  const struct {
+    const char* name;
+    std::optional<SessionToken> session;
+    bool unconfirmed;
+    std::vector<Attempt> script;
+    Outcome outcome;
+    LogPosition require;
+    bool asks_proof;
+    LogPosition position_after;
+  } cases[] = {
+      {"within the age",
+       known,
+       false,
+       {{Result({1, 30})}},
+       Outcome::kResult,
+       {1, 20},
+       false,
+       {1, 3}},
+      {"own later write",
+       later,
+       false,
+       {{Result({1, 30})}},
+       Outcome::kResult,
+       {1, 25},
+       false,
+       {1, 25}},
+      {"uncertain",
+       uncertain,
+       false,
+       {{Result({1, 30})}},
+       Outcome::kResult,
+       {1, 20},
+       true,
+       {1, 30}},
+      {"unconfirmed", known, true, {{Result({0, 0})}}, Outcome::kResult, {1, 20}, true, {1, 20}},
+      {"no token",
+       std::nullopt,
+       false,
+       {{Result({1, 20})}},
+       Outcome::kResult,
+       {1, 20},
+       true,
+       {1, 20}},
+      {"behind",
+       known,
+       false,
+       {{NotRun(Reason::kBehind)}, {Result()}},
+       Outcome::kResult,
+       {1, 20},
+       false,
+       {1, 3}},
+      {"unknown", known, false, {{kUnknown}, {Result()}}, Outcome::kResult, {1, 20}, false, {1, 3}},
+      {"lost",
+       known,
+       false,
+       {{std::nullopt}, {Result()}},
+       Outcome::kResult,
+       {1, 20},
+       false,
+       {1, 3}},
+      {"full",
+       known,
+       false,
+       {{NotRun(Reason::kQueueFull)}, {Result()}},
+       Outcome::kResult,
+       {1, 20},
+       false,
+       {1, 3}},
+      {"other history",
+       known,
+       false,
+       {{NotRun(Reason::kSessionPositionLost)}, {Result()}},
+       Outcome::kResult,
+       {1, 20},
+       true,
+       {1, 3}},
+      {"failed", known, false, {{Failed()}}, Outcome::kFailed, {1, 20}, false, {1, 3}},
+  };
+  for (const auto& item : cases) {
+    Bench bench;
+    bench.script = item.script;
+    CallerRequest request;
+    request.read_only = true;
+    request.session = item.session;
+    request.unconfirmed = item.unconfirmed;
+    const RequestAnswer answer = bench.Run(request);
+    EXPECT_EQ(answer.answer.outcome, item.outcome) << item.name;
+    EXPECT_EQ(bench.sent.back().request.require, item.require) << item.name;
+    EXPECT_FALSE(bench.sent.back().request.write) << item.name;
+    EXPECT_EQ(bench.sent.size(), item.script.size()) << item.name;
+    EXPECT_EQ(bench.proofs_asked > 0, item.asks_proof) << item.name;
+    EXPECT_EQ(answer.session.For("d"), (SessionPosition{item.position_after, false})) << item.name;
+  }
+}
+
+// Guards against a read without a proof, and against a read that misses a lost own write silently.
+TEST(RequestExecutorTest, ReadsThatMustBeRefused) {
+  Bench unproven;
+  unproven.proof_available = false;
+  CallerRequest read;
+  read.read_only = true;
+  EXPECT_EQ(unproven.Run(read).answer.reason, Reason::kNoFreshnessProof);
+  EXPECT_TRUE(unproven.sent.empty());
+  Bench lost;
+  lost.term = 2;
+  read.session = SessionToken().With("d", {1, 17}, false);
+  EXPECT_EQ(lost.Run(read).answer.reason, Reason::kSessionPositionLost);
+  EXPECT_TRUE(lost.sent.empty());
+}
+
+// Guards against a step of a transaction that runs twice, and against a commit or a statement that
+// is reported as not run although it may have run.
+TEST(RequestExecutorTest, TransactionStepsAreSentOnce) {
+  const std::optional<ExecuteAnswer> lost;
+  const struct {
+    TransactionStep step;
+    std::optional<ExecuteAnswer> answer;
+    Outcome outcome;
+    bool carries_id;
+  } cases[] = {
+      {TransactionStep::kBegin, Result(), Outcome::kResult, false},
+      {TransactionStep::kBegin, NotRun(Reason::kFenced), Outcome::kNotRun, false},
+      {TransactionStep::kBegin, kUnknown, Outcome::kNotRun, false},
+      {TransactionStep::kBegin, lost, Outcome::kNotRun, false},
+      {TransactionStep::kContinue, kUnknown, Outcome::kUnknown, false},
+      {TransactionStep::kContinue, lost, Outcome::kUnknown, false},
+      {TransactionStep::kContinue, NotRun(Reason::kConnectionLost), Outcome::kNotRun, false},
+      {TransactionStep::kCommit, Result(), Outcome::kResult, true},
+      {TransactionStep::kCommit, kUnknown, Outcome::kUnknown, true},
+      {TransactionStep::kCommit, lost, Outcome::kUnknown, true},
+      {TransactionStep::kCommit, NotRun(Reason::kFenced), Outcome::kNotRun, true},
+      {TransactionStep::kRollback, lost, Outcome::kUnknown, false},
+  };
+  for (const auto& item : cases) {
+    Bench bench;
+    bench.script = {{item.answer}, {Result()}};
+    CallerRequest request;
+    request.step = item.step;
+    request.transaction = "t";
+    request.backend_server = "p";
+    request.session = SessionToken().With("d", {1, 3}, false);
+    const RequestAnswer answer = bench.Run(request);
+    EXPECT_EQ(answer.answer.outcome, item.outcome) << ToString(item.step);
+    EXPECT_EQ(bench.sent.size(), 1U) << ToString(item.step);
+    EXPECT_EQ(!bench.sent[0].request.request_id.empty(), item.carries_id) << ToString(item.step);
+    const bool unknown_commit = item.carries_id && item.outcome == Outcome::kUnknown;
+    EXPECT_EQ(answer.session.For("d").uncertain, unknown_commit) << ToString(item.step);
+  }
+}
+
+}  // namespace
+}  // namespace sycamoredrum
