Exclude a log position only when its term has begun

Cause: TermHistory::Excludes reported a position as excluded whenever the log had another term at its index. A returned primary with a tail of term 1 therefore answered not_in_history for a position of term 2 until the tail was truncated, and a read would have been refused with session_position_lost although its write exists.

Change: a position is excluded only when the log has entries of the position's term or a later one.

--- a/src/core/types.cc
+++ b/src/core/types.cc
@@ -55,13 +55,14 @@
 }
 
 bool TermHistory::Excludes(const LogPosition& position, std::uint64_t last_index) const {
-  if (position.index == 0) {
+  // Entries of a lower term than the position's may still be truncated.
+  if (position.index == 0 || this->starts.empty() || this->starts.back().term < position.term) {
     return false;
   }
   if (position.index <= last_index) {
     return this->TermAt(position.index) != position.term;
   }
-  return !this->starts.empty() && this->starts.back().term > position.term;
+  return this->starts.back().term > position.term;
 }
 
 TermHistory TermHistory::WithTerm(std::uint64_t term, std::uint64_t first_index) const {
--- a/src/core/types_test.cc
+++ b/src/core/types_test.cc
@@ -23,7 +23,8 @@
   }
 }
 
-// Guards against a replica of another term's branch being taken for one that holds a write.
+// Guards against a replica of another term's branch being taken for one that holds a write, and
+// against a returned primary that refuses new positions before its old tail is truncated.
 TEST(TermHistoryTest, ContainsNeedsTheSameTermAtTheIndex) {
   const TermHistory history({{1, 1}, {3, 6}});
   struct Case {
@@ -33,7 +34,8 @@
   };
   const Case cases[] = {{{0, 0}, true, false},  {{1, 5}, true, false}, {{1, 6}, false, true},
                         {{3, 6}, true, false},  {{2, 6}, false, true}, {{3, 9}, false, false},
-                        {{4, 9}, false, false}, {{1, 9}, false, true}};
+                        {{4, 9}, false, false}, {{1, 9}, false, true}, {{4, 7}, false, false},
+                        {{3, 5}, false, true}};
   for (const Case& c : cases) {
     EXPECT_EQ(history.Contains(c.position, 8), c.contains) << c.position.ToString();
     EXPECT_EQ(history.Excludes(c.position, 8), c.excludes) << c.position.ToString();
--- a/src/include/sycamoredrum/types.h
+++ b/src/include/sycamoredrum/types.h
@@ -74,8 +74,9 @@
   /// {0, 0} is contained in every log.
   bool Contains(const LogPosition& position, std::uint64_t last_index) const;
 
-  /// True if `position` cannot ever become part of this log because another term already covers
-  /// its index, or because a later term has begun.
+  /// True if `position` cannot ever become part of this log because a later term has begun, or
+  /// because the log reached the position's term with another entry at its index. False while the
+  /// log has only lower terms: its tail may be truncated when it follows the position's term.
   bool Excludes(const LogPosition& position, std::uint64_t last_index) const;
 
   /// History after appending the first entry of `term` at `first_index`. Has no effect if `term`
