--- a/src/include/sycamoredrum/holder_service.h
+++ b/src/include/sycamoredrum/holder_service.h
@@ -44,6 +44,12 @@
       wait_position;
 };
 
+/// A lease of a connection to `backend_server`.
+struct BackendLease {
+  std::string backend_server;
+  Lease lease;
+};
+
 class BackendCaller;
 
 /// Runs requests that are a whole transaction on the connections of this proxy. Never retries.
--- a/src/request/backend_caller.h
+++ b/src/request/backend_caller.h
@@ -17,12 +17,6 @@
 /// connection leave it in an unknown state.
 ConnectionState StateAfter(const BackendRequest& request, const BackendReply& reply);
 
-/// A lease of a connection to `backend_server`.
-struct BackendLease {
-  std::string backend_server;
-  Lease lease;
-};
-
 /// Steps that single requests and interactive transactions share: lease, send, confirm. Always
 /// owned by a shared_ptr; unfinished steps end silently when it is destroyed.
 class BackendCaller : public std::enable_shared_from_this<BackendCaller> {
