--- a/src/standin/database_control.cc
+++ b/src/standin/database_control.cc
@@ -5,6 +5,7 @@
 #include "database_server.h"
 #include "json_response.h"
 #include "log_codec.h"
+#include "test_switches.h"
 
 namespace sycamoredrum {
 namespace {
@@ -159,40 +160,12 @@
 }
 
 void DatabaseServer::TestFreeze(const HttpRequest& request, const HttpRespond& respond) {
-  const nlohmann::json body = ParseBody(request);
-  const bool frozen = body.value("frozen", true);
-  const Duration length = Milliseconds(body, "ms");
-  std::uint64_t count = 0;
-  {
-    const std::lock_guard<std::mutex> lock(this->mutex);
-    count = ++this->freeze_count;
-  }
-  this->gate.SetFrozen(frozen);
-  if (frozen && length > Duration::zero()) {
-    this->loop.RunAfter(length, [this, count] {
-      bool latest = false;
-      {
-        const std::lock_guard<std::mutex> lock(this->mutex);
-        latest = this->freeze_count == count;
-      }
-      if (latest) {
-        this->gate.SetFrozen(false);
-      }
-    });
-  }
+  ApplyFreeze(ParseBody(request), this->gate, this->loop);
   respond(JsonResponse(200, nlohmann::json::object()));
 }
 
 void DatabaseServer::TestCut(const HttpRequest& request, const HttpRespond& respond) {
-  const nlohmann::json body = ParseBody(request);
-  const auto hosts = body.at("hosts").get<std::set<std::string>>();
-  const bool close = body.value("mode", "silent") == "close";
-  this->gate.SetCut(hosts, close ? TestGate::CutMode::kClose : TestGate::CutMode::kSilent);
-  if (close) {
-    for (const std::string& host : hosts) {
-      this->statements->CloseConnectionsFrom(host);
-    }
-  }
+  ApplyCut(ParseBody(request), this->gate, this->statements.get());
   respond(JsonResponse(200, nlohmann::json::object()));
 }
 
--- a/src/standin/database_server.h
+++ b/src/standin/database_server.h
@@ -107,7 +107,6 @@
   std::map<std::string, Endpoint> peers;
   std::list<std::function<bool()>> waiters;
   std::uint64_t pull_generation = 0;  ///< Grows when the server follows another primary or term.
-  std::uint64_t freeze_count = 0;
   Duration statement_delay{};
   int answers_to_lose = 0;
   std::uint64_t executed = 0;
--- a/src/standin/test_gate.cc
+++ b/src/standin/test_gate.cc
@@ -2,10 +2,24 @@
 
 namespace sycamoredrum {
 
-void TestGate::SetFrozen(bool value) {
+std::uint64_t TestGate::SetFrozen(bool value) {
+  std::uint64_t freeze = 0;
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->frozen = value;
+    freeze = ++this->freeze_count;
+  }
+  this->Release();
+  return freeze;
+}
+
+void TestGate::Thaw(std::uint64_t freeze) {
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    if (freeze != this->freeze_count) {
+      return;
+    }
+    this->frozen = false;
   }
   this->Release();
 }
--- a/src/standin/test_gate.h
+++ b/src/standin/test_gate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <mutex>
 #include <set>
@@ -22,7 +23,10 @@
     kClose,   ///< Connections are closed.
   };
 
-  void SetFrozen(bool value);
+  /// Returns the number of this freeze, for Thaw.
+  std::uint64_t SetFrozen(bool value);
+  /// Ends the freeze unless SetFrozen was called again since it returned `freeze`.
+  void Thaw(std::uint64_t freeze);
   /// Replaces the cut. The host "*" stands for every host.
   void SetCut(std::set<std::string> hosts, CutMode mode);
 
@@ -42,6 +46,7 @@
 
   mutable std::mutex mutex;
   bool frozen = false;
+  std::uint64_t freeze_count = 0;
   std::set<std::string> cut_hosts;
   CutMode cut_mode = CutMode::kSilent;
   std::vector<std::pair<std::string, std::function<void()>>> held;
