Bound the service time that the fair queue learns from

Cause: the connection of an interactive transaction is leased for up to 60 s. One such time in the moving average made the queue refuse short requests that would have been served in time. Change: longer service times count as 1 s. The pool's property test also sets and clears the leaving state. With the leaving state switched off, or with connections kept after their release while leaving, a pool test fails. Conclusion: an estimate below the true wait costs a refusal at the deadline instead of at once.

--- a/src/include/sycamoredrum/fair_queue.h
+++ b/src/include/sycamoredrum/fair_queue.h
@@ -36,6 +36,10 @@
   static constexpr Duration kMinRetryAfter = std::chrono::milliseconds(10);
   static constexpr Duration kMaxRetryAfter = std::chrono::seconds(5);
 
+  /// Longer service times count as this. One interactive transaction can hold its connection for a
+  /// minute and would otherwise have entries refused that short requests let through in time.
+  static constexpr Duration kMaxServiceTimeSample = std::chrono::seconds(1);
+
   /// True if entries of a caller group may be served now.
   using GroupFilter = std::function<bool(const std::string& caller_group)>;
 
@@ -53,7 +57,7 @@
   bool Remove(const std::string& caller_group, std::uint64_t id);
 
   /// Adds one measured time for which a served entry occupied a connection.
-  void RecordServiceTime(Duration service_time);
+  void RecordServiceTime(Duration measured);
 
   /// Number of entries that are served at the same time; used for the estimate.
   void SetParallelism(int connections);
--- a/src/pool/connection_pool_test.cc
+++ b/src/pool/connection_pool_test.cc
@@ -213,15 +213,17 @@
 }
 
 // Guards, under random events, against a connection with two owners, a second use of a connection
-// of unknown state, an open above the limit, and a request without an answer.
+// of unknown state, a lease at a leaving server, an open above the limit, and a request without an
+// answer.
 RC_GTEST_PROP(ConnectionPoolProperty, ConnectionsHaveOneOwnerAndStayBelowTheLimit, ()) {
   PoolHarness h(4, 8);
   std::map<ConnectionId, int> owners;
   std::map<ConnectionId, bool> broken;
+  bool leaving = false;
   std::map<int, Lease> held;
   std::set<int> seen;  // Requests whose lease has been entered in `held`.
   const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
-      rc::gen::pair(rc::gen::inRange(0, 9), rc::gen::inRange(0, 7)));
+      rc::gen::pair(rc::gen::inRange(0, 10), rc::gen::inRange(0, 7)));
   for (const auto& [kind, value] : steps) {
     const std::size_t total_before = h.pool.Total();
     if (kind <= 2) {
@@ -243,11 +245,15 @@
     } else if (kind == 8 && !held.empty()) {
       h.pool.ConnectionClosed(held.begin()->second.connection);
       broken[held.begin()->second.connection] = true;
+    } else if (kind == 9) {
+      leaving = value == 0;
+      h.pool.SetLeaving(leaving);
     }
     for (const auto& [request, answer] : h.answers) {
       if (answer.status == LeaseStatus::kGranted && seen.insert(request).second) {
         RC_ASSERT(owners[answer.lease.connection] == 0);
         RC_ASSERT(!broken[answer.lease.connection]);
+        RC_ASSERT(!leaving);
         owners[answer.lease.connection] = 1;
         held[request] = answer.lease;
       }
--- a/src/pool/fair_queue.cc
+++ b/src/pool/fair_queue.cc
@@ -91,7 +91,8 @@
   return true;
 }
 
-void FairQueue::RecordServiceTime(Duration sample) {
+void FairQueue::RecordServiceTime(Duration measured) {
+  const Duration sample = std::min(measured, kMaxServiceTimeSample);
   if (this->service_time == Duration::zero()) {
     this->service_time = sample;
     return;
--- a/src/pool/fair_queue_test.cc
+++ b/src/pool/fair_queue_test.cc
@@ -57,6 +57,15 @@
   EXPECT_FALSE(this->Push("orders", 1, milliseconds(0)).accepted);
 }
 
+// Guards against refusals of short requests because one transaction held its connection long.
+TEST_F(FairQueueTest, OneLongServiceTimeDoesNotRefuseShortRequests) {
+  this->queue.RecordServiceTime(milliseconds(2));
+  this->queue.RecordServiceTime(seconds(60));
+  this->queue.SetParallelism(10);
+  EXPECT_TRUE(this->Push("orders").accepted);
+  EXPECT_TRUE(this->Push("orders", 1, milliseconds(50)).accepted);
+}
+
 // Guards against a runaway caller group that fills the queue and shuts all others out.
 TEST_F(FairQueueTest, FullQueueMakesRoomForLighterGroups) {
   for (int i = 0; i < 8; ++i) {
