Shorten the fault tables and test the end of an executor

Cause: the formatter spread the fault tables over several lines per case; no test destroyed an executor with a request in progress. Change: local names for the repeated answers and servers in the tables, same cases and checks. New test PendingWorkEndsWithTheExecutor.

--- a/src/request/request_executor_test.cc
+++ b/src/request/request_executor_test.cc
@@ -113,71 +113,41 @@
   std::unique_ptr<RequestExecutor> executor;
 };
 
-enum class Kind { kWithId, kIdempotent };
-
 // Guards against a write that is reported as not run or failed although an attempt may have run,
 // that is sent without the id that makes a second run harmless, or that is given up too early.
 TEST(RequestExecutorTest, WriteOutcomes) {
-  const ExecuteAnswer fenced = NotRun(Reason::kFenced);
+  using Answer = std::optional<ExecuteAnswer>;
+  const Answer ok = Result(), failed = Failed(), unknown = kUnknown, lost;
+  const Answer fenced = NotRun(Reason::kFenced), refused = NotRun(Reason::kConnectionRefused);
+  const Answer full = NotRun(Reason::kQueueFull), no_holder = NotRun(Reason::kHolderUnreachable);
+  const Answer not_primary = NotRun(Reason::kNoPrimary);
   const struct {
     const char* name;
-    Kind kind;
+    bool idempotent;  // True: without a request id.
     std::vector<Attempt> script;
     Outcome outcome;
     int attempts;
   } cases[] = {
-      {"result", Kind::kWithId, {{Result()}}, Outcome::kResult, 1},
-      {"failed", Kind::kWithId, {{Failed()}}, Outcome::kFailed, 1},
-      {"queue full", Kind::kWithId, {{NotRun(Reason::kQueueFull)}}, Outcome::kNotRun, 1},
-      {"fenced once", Kind::kWithId, {{fenced, true}, {Result()}}, Outcome::kResult, 2},
-      {"fenced, no new primary", Kind::kWithId, {{fenced}}, Outcome::kNotRun, 1},
-      {"refused",
-       Kind::kWithId,
-       {{NotRun(Reason::kConnectionRefused)}, {Result()}},
-       Outcome::kResult,
-       2},
-      {"no holder",
-       Kind::kIdempotent,
-       {{NotRun(Reason::kHolderUnreachable)}, {Result()}},
-       Outcome::kResult,
-       2},
-      {"not primary",
-       Kind::kWithId,
-       {{NotRun(Reason::kNoPrimary), true}, {Result()}},
-       Outcome::kResult,
-       2},
-      {"unknown, result", Kind::kWithId, {{kUnknown}, {Result()}}, Outcome::kResult, 2},
-      {"unknown, result", Kind::kIdempotent, {{kUnknown}, {Result()}}, Outcome::kResult, 2},
-      {"lost, result", Kind::kWithId, {{std::nullopt}, {Result()}}, Outcome::kResult, 2},
-      {"unknown, queue full",
-       Kind::kWithId,
-       {{kUnknown}, {NotRun(Reason::kQueueFull)}},
-       Outcome::kUnknown,
-       2},
-      {"unknown, fenced", Kind::kWithId, {{kUnknown}, {fenced}}, Outcome::kUnknown, 2},
-      {"lost, queue full",
-       Kind::kIdempotent,
-       {{std::nullopt}, {NotRun(Reason::kQueueFull)}},
-       Outcome::kUnknown,
-       2},
-      {"unknown, failed in the same term",
-       Kind::kWithId,
-       {{kUnknown}, {Failed()}},
-       Outcome::kUnknown,
-       2},
-      {"unknown, failed in a later term",
-       Kind::kWithId,
-       {{kUnknown, true}, {Failed()}},
-       Outcome::kFailed,
-       2},
-      {"unknown, failed in a later term",
-       Kind::kIdempotent,
-       {{kUnknown, true}, {Failed()}},
-       Outcome::kUnknown,
-       2},
-      {"unknown in both terms, failed",
-       Kind::kWithId,
-       {{kUnknown, true}, {kUnknown}, {Failed()}},
+      {"result", false, {{ok}}, Outcome::kResult, 1},
+      {"failed", false, {{failed}}, Outcome::kFailed, 1},
+      {"queue full", false, {{full}}, Outcome::kNotRun, 1},
+      {"fenced once", false, {{fenced, true}, {ok}}, Outcome::kResult, 2},
+      {"fenced for good", false, {{fenced}}, Outcome::kNotRun, 1},
+      {"refused", false, {{refused}, {ok}}, Outcome::kResult, 2},
+      {"no holder", true, {{no_holder}, {ok}}, Outcome::kResult, 2},
+      {"not primary", false, {{not_primary, true}, {ok}}, Outcome::kResult, 2},
+      {"unknown, result", false, {{unknown}, {ok}}, Outcome::kResult, 2},
+      {"unknown, result", true, {{unknown}, {ok}}, Outcome::kResult, 2},
+      {"lost, result", false, {{lost}, {ok}}, Outcome::kResult, 2},
+      {"unknown, queue full", false, {{unknown}, {full}}, Outcome::kUnknown, 2},
+      {"unknown, fenced", false, {{unknown}, {fenced}}, Outcome::kUnknown, 2},
+      {"lost, queue full", true, {{lost}, {full}}, Outcome::kUnknown, 2},
+      {"unknown, failed, same term", false, {{unknown}, {failed}}, Outcome::kUnknown, 2},
+      {"unknown, failed, later term", false, {{unknown, true}, {failed}}, Outcome::kFailed, 2},
+      {"unknown, failed in a later term", true, {{unknown, true}, {failed}}, Outcome::kUnknown, 2},
+      {"unknown twice, failed",
+       false,
+       {{unknown, true}, {unknown}, {failed}},
        Outcome::kUnknown,
        3},
   };
@@ -185,7 +155,7 @@
     Bench bench;
     bench.script = item.script;
     CallerRequest request;
-    request.idempotent = item.kind == Kind::kIdempotent;
+    request.idempotent = item.idempotent;
     const RequestAnswer answer = bench.Run(request);
     const std::string name = std::string(item.name) + (request.idempotent ? ", idempotent" : "");
     EXPECT_EQ(answer.answer.outcome, item.outcome) << name;
@@ -243,6 +213,10 @@
 // Guards against a stale read, against a read refused although another server can serve it, and
 // against an uncertain session that never becomes certain.
 TEST(RequestExecutorTest, Reads) {
+  constexpr Outcome result = Outcome::kResult;
+  const std::optional<SessionToken> none;
+  const std::optional<ExecuteAnswer> ok = Result(), behind = NotRun(Reason::kBehind), lost;
+  const auto other = NotRun(Reason::kSessionPositionLost), full = NotRun(Reason::kQueueFull);
   const SessionToken known = SessionToken().With("d", {1, 3}, false);
   const SessionToken later = SessionToken().With("d", {1, 25}, false);
   const SessionToken uncertain = SessionToken().With("d", {1, 3}, true);
@@ -256,72 +230,16 @@
     bool asks_proof;
     LogPosition position_after;
   } cases[] = {
-      {"within the age",
-       known,
-       false,
-       {{Result({1, 30})}},
-       Outcome::kResult,
-       {1, 20},
-       false,
-       {1, 3}},
-      {"own later write",
-       later,
-       false,
-       {{Result({1, 30})}},
-       Outcome::kResult,
-       {1, 25},
-       false,
-       {1, 25}},
-      {"uncertain",
-       uncertain,
-       false,
-       {{Result({1, 30})}},
-       Outcome::kResult,
-       {1, 20},
-       true,
-       {1, 30}},
-      {"unconfirmed", known, true, {{Result({0, 0})}}, Outcome::kResult, {1, 20}, true, {1, 20}},
-      {"no token",
-       std::nullopt,
-       false,
-       {{Result({1, 20})}},
-       Outcome::kResult,
-       {1, 20},
-       true,
-       {1, 20}},
-      {"behind",
-       known,
-       false,
-       {{NotRun(Reason::kBehind)}, {Result()}},
-       Outcome::kResult,
-       {1, 20},
-       false,
-       {1, 3}},
-      {"unknown", known, false, {{kUnknown}, {Result()}}, Outcome::kResult, {1, 20}, false, {1, 3}},
-      {"lost",
-       known,
-       false,
-       {{std::nullopt}, {Result()}},
-       Outcome::kResult,
-       {1, 20},
-       false,
-       {1, 3}},
-      {"full",
-       known,
-       false,
-       {{NotRun(Reason::kQueueFull)}, {Result()}},
-       Outcome::kResult,
-       {1, 20},
-       false,
-       {1, 3}},
-      {"other history",
-       known,
-       false,
-       {{NotRun(Reason::kSessionPositionLost)}, {Result()}},
-       Outcome::kResult,
-       {1, 20},
-       true,
-       {1, 3}},
+      {"within the age", known, false, {{Result({1, 30})}}, result, {1, 20}, false, {1, 3}},
+      {"own later write", later, false, {{Result({1, 30})}}, result, {1, 25}, false, {1, 25}},
+      {"uncertain", uncertain, false, {{Result({1, 30})}}, result, {1, 20}, true, {1, 30}},
+      {"unconfirmed", known, true, {{Result({0, 0})}}, result, {1, 20}, true, {1, 20}},
+      {"no token", none, false, {{Result({1, 20})}}, result, {1, 20}, true, {1, 20}},
+      {"behind", known, false, {{behind}, {ok}}, result, {1, 20}, false, {1, 3}},
+      {"unknown", known, false, {{kUnknown}, {ok}}, result, {1, 20}, false, {1, 3}},
+      {"lost", known, false, {{lost}, {ok}}, result, {1, 20}, false, {1, 3}},
+      {"full", known, false, {{full}, {ok}}, result, {1, 20}, false, {1, 3}},
+      {"other history", known, false, {{other}, {ok}}, result, {1, 20}, true, {1, 3}},
       {"failed", known, false, {{Failed()}}, Outcome::kFailed, {1, 20}, false, {1, 3}},
   };
   for (const auto& item : cases) {
@@ -396,5 +314,19 @@
   }
 }
 
+// Guards against timers and late answers that use an executor after its destruction.
+TEST(RequestExecutorTest, PendingWorkEndsWithTheExecutor) {
+  Bench bench;
+  bench.View();
+  CallerRequest request;
+  request.database = "d";
+  request.arrival = bench.clock.Now();
+  request.deadline = request.arrival + milliseconds(100);
+  bench.executor->Execute(request, [](const RequestAnswer&) { FAIL(); });
+  EXPECT_EQ(bench.executor->InProgress(), 1U);
+  bench.executor.reset();
+  bench.clock.Advance(milliseconds(200));
+}
+
 }  // namespace
 }  // namespace sycamoredrum
--- a/src/routing/database_view_test.cc
+++ b/src/routing/database_view_test.cc
@@ -36,65 +36,42 @@
   return server;
 }
 
-constexpr Role kReplica = Role::kReplica;
-constexpr Role kPrimary = Role::kPrimary;
+BackendServerView Primary(const std::string& id, std::uint64_t term, std::uint64_t promised,
+                          TimePoint observed_at = kRound) {
+  return Server(id, Role::kPrimary, term, promised, observed_at);
+}
+
+BackendServerView Replica(const std::string& id, std::uint64_t term, std::uint64_t promised,
+                          TimePoint observed_at = kRound) {
+  return Server(id, Role::kReplica, term, promised, observed_at);
+}
 
 // Guards against a proof that does not cover a write acknowledged in a later term, and against a
 // replaced primary that is still taken for the primary.
 TEST(DatabaseViewTest, ProofNeedsThePrimaryAndAMajorityOfTheRound) {
   const TimePoint early = kRound - milliseconds(1);
+  // Named by id, term, and promised term if it is higher.
+  const auto a2 = Primary("a", 2, 2), b2 = Replica("b", 2, 2), c2 = Replica("c", 2, 2);
+  const auto b23 = Replica("b", 2, 3), c23 = Replica("c", 2, 3);
+  const auto silent_a = Silent("a"), silent_b = Silent("b"), silent_c = Silent("c");
   const struct {
     const char* name;
     std::vector<BackendServerView> servers;
     std::string primary;
     bool proof;
   } cases[] = {
-      {"majority",
-       {Server("a", kPrimary, 2, 2), Server("b", kReplica, 2, 2), Silent("c")},
-       "a",
-       true},
-      {"replica lags a term",
-       {Server("a", kPrimary, 2, 2), Server("b", kReplica, 1, 1), Silent("c")},
-       "a",
-       true},
-      {"alone", {Server("a", kPrimary, 2, 2), Silent("b"), Silent("c")}, "a", false},
-      {"listed twice",
-       {Server("a", kPrimary, 2, 2), Server("a", kPrimary, 2, 2), Silent("c")},
-       "a",
-       false},
-      {"replicas fenced",
-       {Server("a", kPrimary, 2, 2), Server("b", kReplica, 2, 3), Server("c", kReplica, 2, 3)},
-       "a",
-       false},
-      {"one replica fenced",
-       {Server("a", kPrimary, 2, 2), Server("b", kReplica, 2, 3), Server("c", kReplica, 2, 2)},
-       "a",
-       true},
-      {"primary fenced",
-       {Server("a", kPrimary, 2, 3), Server("b", kReplica, 2, 2), Server("c", kReplica, 2, 2)},
-       "",
-       false},
-      {"replaced primary",
-       {Server("a", kPrimary, 2, 2), Server("b", kReplica, 3, 3), Server("c", kReplica, 2, 2)},
-       "",
-       false},
-      {"two primaries",
-       {Server("a", kPrimary, 2, 2), Server("b", kPrimary, 3, 3), Server("c", kReplica, 3, 3)},
-       "b",
-       true},
-      {"early replica",
-       {Server("a", kPrimary, 2, 2), Server("b", kReplica, 2, 2, early), Silent("c")},
-       "a",
-       false},
-      {"early primary",
-       {Server("a", kPrimary, 2, 2, early), Server("b", kReplica, 2, 2),
-        Server("c", kReplica, 2, 2)},
-       "a",
-       false},
-      {"primary silent",
-       {Silent("a"), Server("b", kReplica, 2, 2), Server("c", kReplica, 2, 2)},
-       "",
-       false},
+      {"majority", {a2, b2, silent_c}, "a", true},
+      {"replica lags a term", {a2, Replica("b", 1, 1), silent_c}, "a", true},
+      {"alone", {a2, silent_b, silent_c}, "a", false},
+      {"listed twice", {a2, a2, silent_c}, "a", false},
+      {"replicas fenced", {a2, b23, c23}, "a", false},
+      {"one replica fenced", {a2, b23, c2}, "a", true},
+      {"primary fenced", {Primary("a", 2, 3), b2, c2}, "", false},
+      {"replaced primary", {a2, Replica("b", 3, 3), c2}, "", false},
+      {"two primaries", {a2, Primary("b", 3, 3), Replica("c", 3, 3)}, "b", true},
+      {"early replica", {a2, Replica("b", 2, 2, early), silent_c}, "a", false},
+      {"early primary", {Primary("a", 2, 2, early), b2, c2}, "a", false},
+      {"primary silent", {silent_a, b2, c2}, "", false},
       {"no servers", {}, "", false},
   };
   const FreshnessProof previous{{1, 1}, kRound - milliseconds(500)};
@@ -108,8 +85,7 @@
 }
 
 DatabaseView Example() {
-  std::vector<BackendServerView> servers = {Server("a", kPrimary, 2, 2),
-                                            Server("b", kReplica, 2, 2)};
+  std::vector<BackendServerView> servers = {Primary("a", 2, 2), Replica("b", 2, 2)};
   servers.push_back(BackendServerView{"c", false, std::nullopt, TimePoint()});
   return BuildDatabaseView("orders", servers, kRound, std::nullopt);
 }
--- a/src/routing/read_router_test.cc
+++ b/src/routing/read_router_test.cc
@@ -43,6 +43,9 @@
     return *const_cast<BackendServerView*>(this->view.Find(id));
   }
 
+  std::uint64_t& Last(const std::string& id) { return this->At(id).status->last_index; }
+  void Fail(const std::string& id) { this->failures.Record(id, milliseconds(5)); }
+
   ReadRoute Route(milliseconds remaining = milliseconds(300)) {
     const RouteRequest request{LogPosition{2, 5000}, "west", remaining};
     return this->router.Route(this->view, this->config, this->failures, request);
@@ -66,62 +69,53 @@
 // Guards against reads that load the primary although a replica can serve them, and against a
 // choice that a fault makes empty.
 TEST(ReadRouterTest, OrderOfChoices) {
+  using Setup = RouterSetup;
+  constexpr auto none = PrimaryReason::kNone, no_replica = PrimaryReason::kNoReplica;
+  constexpr auto behind = PrimaryReason::kReplicasBehind, failed = PrimaryReason::kReplicasFailed;
+  constexpr auto unreachable = PrimaryReason::kReplicasUnreachable;
   const struct {
     const char* name;
     std::function<void(RouterSetup&)> change;
     std::string order;
     PrimaryReason reason;
   } cases[] = {
-      {"all hold", [](RouterSetup&) {}, "lrp", PrimaryReason::kNone},
-      {"local catches up", [](RouterSetup& t) { t.At("l").status->last_index = 4500; }, "rlp",
-       PrimaryReason::kNone},
-      {"both catch up",
-       [](RouterSetup& t) { t.At("l").status->last_index = t.At("r").status->last_index = 4500; },
-       "lrp", PrimaryReason::kNone},
-      {"local far behind", [](RouterSetup& t) { t.At("l").status->last_index = 3; }, "rpl",
-       PrimaryReason::kNone},
-      {"both far behind",
-       [](RouterSetup& t) { t.At("l").status->last_index = t.At("r").status->last_index = 3; },
-       "plr", PrimaryReason::kReplicasBehind},
+      {"all hold", [](Setup&) {}, "lrp", none},
+      {"local catches up", [](Setup& t) { t.Last("l") = 4500; }, "rlp", none},
+      {"both catch up", [](Setup& t) { t.Last("l") = t.Last("r") = 4500; }, "lrp", none},
+      {"local far behind", [](Setup& t) { t.Last("l") = 3; }, "rpl", none},
+      {"both far behind", [](Setup& t) { t.Last("l") = t.Last("r") = 3; }, "plr", behind},
       {"silent stream",
-       [](RouterSetup& t) {
-         t.At("l").status->last_index = 4999;
+       [](Setup& t) {
+         t.Last("l") = 4999;
          t.At("l").status->primary_silence = milliseconds(900);
        },
-       "rpl", PrimaryReason::kNone},
-      {"local failed", [](RouterSetup& t) { t.failures.Record("l", milliseconds(5)); }, "rpl",
-       PrimaryReason::kNone},
+       "rpl", none},
+      {"local failed", [](Setup& t) { t.Fail("l"); }, "rpl", none},
       {"replicas failed",
-       [](RouterSetup& t) {
-         t.failures.Record("l", milliseconds(5));
-         t.failures.Record("r", milliseconds(5));
+       [](Setup& t) {
+         t.Fail("l");
+         t.Fail("r");
        },
-       "plr", PrimaryReason::kReplicasFailed},
-      {"replicas unreachable",
-       [](RouterSetup& t) { t.At("l").reachable = t.At("r").reachable = false; }, "plr",
-       PrimaryReason::kReplicasUnreachable},
-      {"primary unreachable", [](RouterSetup& t) { t.At("p").reachable = false; }, "lrp",
-       PrimaryReason::kNone},
+       "plr", failed},
+      {"replicas unreachable", [](Setup& t) { t.At("l").reachable = t.At("r").reachable = false; },
+       "plr", unreachable},
+      {"primary unreachable", [](Setup& t) { t.At("p").reachable = false; }, "lrp", none},
       {"no primary",
-       [](RouterSetup& t) {
+       [](Setup& t) {
          t.view.primary = "";
          t.view.term = 0;
          t.At("p").reachable = false;
        },
-       "lrp", PrimaryReason::kNone},
+       "lrp", none},
       {"other history",
-       [](RouterSetup& t) {
+       [](Setup& t) {
          t.At("l").status->history = TermHistory({{1, 1}});
        },
-       "rp", PrimaryReason::kNone},
-      {"local leaves", [](RouterSetup& t) { t.config.backend_servers[1].leaving = true; }, "rp",
-       PrimaryReason::kNone},
-      {"primary leaves", [](RouterSetup& t) { t.config.backend_servers[0].leaving = true; }, "lrp",
-       PrimaryReason::kNone},
-      {"replicas removed", [](RouterSetup& t) { t.config.backend_servers.resize(1); }, "p",
-       PrimaryReason::kNoReplica},
-      {"never observed", [](RouterSetup& t) { t.At("l").status.reset(); }, "rp",
-       PrimaryReason::kNone},
+       "rp", none},
+      {"local leaves", [](Setup& t) { t.config.backend_servers[1].leaving = true; }, "rp", none},
+      {"primary leaves", [](Setup& t) { t.config.backend_servers[0].leaving = true; }, "lrp", none},
+      {"replicas removed", [](Setup& t) { t.config.backend_servers.resize(1); }, "p", no_replica},
+      {"never observed", [](Setup& t) { t.At("l").status.reset(); }, "rp", none},
   };
   for (const auto& item : cases) {
     RouterSetup setup;
