Add the database watcher

Nothing noticed a lost primary or decided on a promotion.

DatabaseWatcher probes the backend servers of one database, suspects the primary after 3 failed probes, and promotes a replica once the conditions of section 5.1 of the design hold. It also installs the first primary of a group, resolves promises left by abandoned attempts, redirects servers in lower terms, starts hand-overs, and spaces promotions. A simulation under virtual time runs three servers and three watchers with delays, loss, cuts and freezes, and checks the terms and the confirmed writes at every change.

Opinions now state a running attempt and the term of a completed one. - Giving way to another attempt had no bound, because a retry delay restarted the waiting time. - A fixed bound of 150 ms on opinions dropped all of them on slow links. The bound now follows the probe timeout and is passed to the hook.

--- /dev/null
+++ b/src/failover/database_watcher.cc
@@ -0,0 +1,377 @@
+#include "sycamoredrum/database_watcher.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "watcher_impl.h"
+
+namespace sycamoredrum {
+namespace {
+
+// While there is an incident, it is evaluated this many times per probe interval.
+constexpr int kEvaluationsPerInterval = 4;
+
+// Marks the proposer ids of hand-overs, so that other watchers do not count them as failovers.
+constexpr char kHandOverSuffix[] = "/hand-over";
+
+}  // namespace
+
+DatabaseWatcher::Impl::Impl(std::string database, std::string member, WatcherAssignment assignment,
+                            WatcherHooks hooks, WatcherTimings timings, const Clock& clock,
+                            Scheduler& scheduler, RandomSource random)
+    : database(std::move(database)),
+      member(std::move(member)),
+      hooks(std::move(hooks)),
+      timings(timings),
+      clock(clock),
+      scheduler(scheduler),
+      random(std::move(random)),
+      spacing(timings) {
+  this->Reconfigure(std::move(assignment));
+}
+
+void DatabaseWatcher::Impl::Stop() {
+  this->alive.reset();
+  this->promotion.reset();
+}
+
+void DatabaseWatcher::Impl::Reconfigure(WatcherAssignment next) {
+  const TimePoint now = this->clock.Now();
+  const bool same_group = next.backend_servers == this->assignment.backend_servers;
+  this->assignment = std::move(next);
+  if (same_group) {
+    return;
+  }
+  ServerObservations kept;
+  for (const std::string& id : this->assignment.backend_servers) {
+    const auto found = this->servers.find(id);
+    kept.emplace(id, found != this->servers.end() ? found->second
+                                                  : ServerObservation(id, now, this->timings));
+  }
+  this->servers = std::move(kept);
+  this->promotion.reset();
+  this->promoting = false;
+  this->asking = false;
+  this->incident.reset();
+}
+
+WatcherOpinion DatabaseWatcher::Impl::Opinion() const {
+  const TimePoint now = this->clock.Now();
+  const GroupState group = AssessGroup(this->servers, now);
+  WatcherOpinion opinion;
+  // The status of a server promoted by this watcher may not have been probed yet.
+  opinion.term = std::max(group.term, this->promoted_term);
+  opinion.promoting = this->promoting;
+  opinion.primary = group.primary;
+  const auto found = this->servers.find(group.primary);
+  if (found == this->servers.end()) {
+    return opinion;
+  }
+  if (const std::optional<TimePoint> heard = found->second.HeardAt()) {
+    opinion.heard_from_primary_ago = now - *heard;
+  }
+  opinion.reachable = group.condition == PrimaryCondition::kActing && found->second.Reachable(now);
+  return opinion;
+}
+
+std::vector<std::string> DatabaseWatcher::Impl::LeavingServers() const {
+  std::vector<std::string> leaving;
+  std::copy_if(this->assignment.backend_servers.begin(), this->assignment.backend_servers.end(),
+               std::back_inserter(leaving), this->hooks.is_leaving);
+  return leaving;
+}
+
+Duration DatabaseWatcher::Impl::SuspicionTime(const GroupState& group) const {
+  const auto found = this->servers.find(group.primary);
+  if (found != this->servers.end()) {
+    return found->second.SuspicionTime();
+  }
+  return ServerObservation("", this->clock.Now(), this->timings).SuspicionTime();
+}
+
+std::optional<PromotionCause> DatabaseWatcher::Impl::FindCause(const GroupState& group) const {
+  switch (group.condition) {
+    case PrimaryCondition::kSuspected:
+      return PromotionCause::kPrimaryLost;
+    case PrimaryCondition::kNotActing:
+    case PrimaryCondition::kUnknown:
+      return PromotionCause::kNoPrimary;
+    case PrimaryCondition::kActing:
+      break;
+  }
+  if (group.promise_ahead) {
+    return PromotionCause::kPromiseAhead;
+  }
+  const TimePoint now = this->clock.Now();
+  const bool may_hand_over = now >= this->hand_over_not_before &&
+                             this->hooks.is_leaving(group.primary) &&
+                             HasHandOverTarget(this->servers, group, this->LeavingServers(),
+                                               this->timings.max_hand_over_lag, now);
+  return may_hand_over ? std::make_optional(PromotionCause::kHandOver) : std::nullopt;
+}
+
+void DatabaseWatcher::Impl::TrackIncident(const GroupState& group, PromotionCause cause) {
+  const bool same_term = this->incident && this->incident->term == group.term;
+  // A failed attempt leaves fenced servers behind, which changes the cause but not the incident.
+  const bool continued = same_term && this->incident->attempts > 0;
+  if (continued) {
+    this->incident->cause = cause;
+  }
+  if (same_term && this->incident->cause == cause) {
+    return;
+  }
+  Incident next;
+  next.cause = cause;
+  next.term = group.term;
+  next.primary = group.primary;
+  next.since = this->clock.Now();
+  const auto found = this->servers.find(group.primary);
+  next.last_heard = found != this->servers.end() ? found->second.SilentSince() : next.since;
+  this->incident = next;
+}
+
+Duration DatabaseWatcher::Impl::HoldTime(PromotionCause cause) const {
+  switch (cause) {
+    case PromotionCause::kNoPrimary:
+      return ServerObservation("", this->clock.Now(), this->timings).SuspicionTime();
+    case PromotionCause::kPromiseAhead:
+      return this->timings.promise_ahead_time;
+    case PromotionCause::kPrimaryLost:
+    case PromotionCause::kHandOver:
+      break;
+  }
+  return Duration::zero();
+}
+
+bool DatabaseWatcher::Impl::LocalConditionsHold(const GroupState& group, TimePoint now) const {
+  const PromotionCause cause = this->incident->cause;
+  const bool held = now >= this->incident->since + this->HoldTime(cause);
+  if (!held || !group.majority_reachable) {
+    return false;
+  }
+  if (cause == PromotionCause::kHandOver) {
+    return true;
+  }
+  if (const auto not_before = this->spacing.NotBefore(); not_before && now < *not_before) {
+    return false;
+  }
+  if (cause != PromotionCause::kPrimaryLost) {
+    return true;
+  }
+  const Duration suspicion_time = this->SuspicionTime(group);
+  if (now - this->servers.at(group.primary).SilentSince() < suspicion_time) {
+    return false;
+  }
+  return !AskReplicas(this->servers, group, suspicion_time, now).heard_recently;
+}
+
+void DatabaseWatcher::Impl::OnEvaluationTimer() {
+  this->evaluation_scheduled = false;
+  this->Evaluate();
+}
+
+void DatabaseWatcher::Impl::Evaluate() {
+  const TimePoint now = this->clock.Now();
+  const GroupState group = AssessGroup(this->servers, now);
+  if (group.term > 0 && !group.primary.empty()) {
+    const bool hand_over = absl::EndsWith(group.promised_by, kHandOverSuffix);
+    this->spacing.RecordTerm(group.term, hand_over, now);
+  }
+  if (this->promoting) {
+    return;
+  }
+  const std::optional<PromotionCause> cause = this->FindCause(group);
+  if (!cause) {
+    this->incident.reset();
+    return;
+  }
+  this->TrackIncident(group, *cause);
+  if (!this->evaluation_scheduled) {
+    this->evaluation_scheduled = true;
+    this->Later(this->timings.probe_interval / kEvaluationsPerInterval, &Impl::OnEvaluationTimer);
+  }
+  if (!this->LocalConditionsHold(group, now)) {
+    this->incident->ready_since.reset();
+    return;
+  }
+  if (!this->incident->ready_since) {
+    this->incident->ready_since = now;
+  }
+  const bool rank_waited =
+      now >= *this->incident->ready_since + this->assignment.rank * this->timings.rank_delay;
+  if (rank_waited && now >= this->retry_not_before && !this->asking) {
+    this->AskOpinions();
+  }
+}
+
+void DatabaseWatcher::Impl::AskOpinions() {
+  this->asking = true;
+  const std::uint64_t number = ++this->question;
+  const std::weak_ptr<bool> guard = this->alive;
+  const auto answer = [this, guard, number](const std::vector<WatcherOpinion>& opinions) {
+    if (!guard.expired()) {
+      this->OnOpinions(number, opinions);
+    }
+  };
+  Duration timeout = this->timings.min_probe_timeout;
+  for (const auto& [id, server] : this->servers) {
+    timeout = std::max(timeout, server.ProbeTimeout());
+  }
+  this->scheduler.RunAfter(timeout + this->timings.probe_interval, [answer] { answer({}); });
+  this->hooks.ask_opinions(timeout, answer);
+}
+
+void DatabaseWatcher::Impl::OnOpinions(std::uint64_t number,
+                                       const std::vector<WatcherOpinion>& opinions) {
+  if (!this->asking || number != this->question) {
+    return;
+  }
+  this->asking = false;
+  const TimePoint now = this->clock.Now();
+  const GroupState group = AssessGroup(this->servers, now);
+  const bool still_due = !this->promoting && this->incident && this->incident->ready_since &&
+                         this->FindCause(group) == this->incident->cause &&
+                         group.term == this->incident->term &&
+                         this->LocalConditionsHold(group, now);
+  if (!still_due) {
+    return;
+  }
+  if (!this->OthersAgree(group, opinions)) {
+    ++this->counters.held_back;
+    this->retry_not_before = now + this->timings.probe_interval;
+    return;
+  }
+  this->StartPromotion();
+}
+
+bool DatabaseWatcher::Impl::OthersAgree(const GroupState& group,
+                                        const std::vector<WatcherOpinion>& opinions) const {
+  const bool lost = this->incident->cause == PromotionCause::kPrimaryLost;
+  const Duration suspicion_time = this->SuspicionTime(group);
+  const TimePoint now = this->clock.Now();
+  const bool gives_way = now - *this->incident->ready_since < this->timings.give_way_time;
+  int agreeing = AskReplicas(this->servers, group, suspicion_time, now).silent;
+  for (const WatcherOpinion& opinion : opinions) {
+    const bool newer = opinion.term > group.term;
+    const bool same = opinion.term == group.term && opinion.primary == group.primary;
+    const bool heard =
+        opinion.heard_from_primary_ago && *opinion.heard_from_primary_ago < suspicion_time;
+    const bool sees_failed_cause = lost && same && (heard || opinion.reachable);
+    const bool sees_primary =
+        this->incident->cause == PromotionCause::kNoPrimary && opinion.reachable;
+    const bool other_attempt = opinion.promoting && gives_way;
+    if (newer || other_attempt || sees_failed_cause || sees_primary) {
+      return false;
+    }
+    if (same && opinion.heard_from_primary_ago) {
+      ++agreeing;
+    }
+  }
+  return !lost || agreeing > 0;
+}
+
+PromotionRequest DatabaseWatcher::Impl::MakeRequest(const GroupState& group) {
+  const bool hand_over = this->incident->cause == PromotionCause::kHandOver;
+  this->highest_term_used = std::max(this->highest_term_used, group.highest_promise) + 1;
+  PromotionRequest request;
+  request.database = this->database;
+  request.backend_servers = this->assignment.backend_servers;
+  request.term = this->highest_term_used;
+  // The random part keeps the id unique if this process is replaced by one with the same name.
+  request.proposer = absl::StrCat(this->member, "/", absl::Hex(this->random(), absl::kZeroPad16),
+                                  hand_over ? kHandOverSuffix : "");
+  request.hand_over_from = hand_over ? group.primary : "";
+  request.avoid = this->LeavingServers();
+  request.preferred = group.primary;
+  return request;
+}
+
+void DatabaseWatcher::Impl::StartPromotion() {
+  const TimePoint now = this->clock.Now();
+  if (!this->incident->started_at) {
+    this->incident->started_at = now;
+  }
+  ++this->incident->attempts;
+  ++this->counters.attempts;
+  this->promoting = true;
+  const GroupState group = AssessGroup(this->servers, now);
+  this->promotion = std::make_unique<Promotion>(
+      this->MakeRequest(group), this->hooks.control,
+      [this](const PromotionResult& result) { this->OnPromotionDone(result); },
+      this->timings.promotion, this->clock, this->scheduler);
+  this->promotion->Start();
+}
+
+void DatabaseWatcher::Impl::CountOutcome(const PromotionResult& result) {
+  switch (result.outcome) {
+    case PromotionOutcome::kPromoted:
+      ++this->counters.promoted;
+      break;
+    case PromotionOutcome::kRefused:
+      ++this->counters.refused;
+      break;
+    case PromotionOutcome::kNoMajority:
+      ++this->counters.no_majority;
+      break;
+    case PromotionOutcome::kTimeout:
+      ++this->counters.timeouts;
+      break;
+  }
+}
+
+void DatabaseWatcher::Impl::OnPromotionDone(const PromotionResult& result) {
+  const TimePoint now = this->clock.Now();
+  const bool hand_over = this->incident && this->incident->cause == PromotionCause::kHandOver;
+  this->promoting = false;
+  this->CountOutcome(result);
+  this->highest_term_used = std::max(this->highest_term_used, result.higher_term);
+  if (hand_over) {
+    this->hand_over_not_before = now + this->timings.hand_over_retry;
+  }
+  if (result.outcome != PromotionOutcome::kPromoted) {
+    // Random, so that two watchers that refuse each other do not try again at the same time.
+    const Duration spread = this->timings.rank_delay;
+    this->retry_not_before =
+        now + this->assignment.rank * spread + Duration(this->random() % spread.count());
+    return;
+  }
+  this->promoted_term = result.term;
+  this->spacing.RecordTerm(result.term, hand_over, now);
+  if (!this->incident) {
+    return;
+  }
+  this->counters.hand_overs += hand_over ? 1 : 0;
+  FailoverGap gap;
+  gap.cause = this->incident->cause;
+  gap.primary = result.primary;
+  gap.term = result.term;
+  gap.last_heard = this->incident->last_heard;
+  gap.suspected_at = this->incident->since;
+  gap.started_at = *this->incident->started_at;
+  gap.promoted_at = now;
+  gap.attempts = this->incident->attempts;
+  this->incident.reset();
+  this->hooks.on_gap(gap);
+}
+
+DatabaseWatcher::DatabaseWatcher(std::string database, std::string member,
+                                 WatcherAssignment assignment, WatcherHooks hooks,
+                                 WatcherTimings timings, const Clock& clock, Scheduler& scheduler,
+                                 RandomSource random)
+    : impl(std::make_unique<Impl>(std::move(database), std::move(member), std::move(assignment),
+                                  std::move(hooks), timings, clock, scheduler, std::move(random))) {
+}
+
+DatabaseWatcher::~DatabaseWatcher() = default;
+void DatabaseWatcher::Start() { this->impl->Start(); }
+void DatabaseWatcher::Stop() { this->impl->Stop(); }
+void DatabaseWatcher::Reconfigure(WatcherAssignment assignment) {
+  this->impl->Reconfigure(std::move(assignment));
+}
+WatcherOpinion DatabaseWatcher::Opinion() const { return this->impl->Opinion(); }
+const WatcherCounters& DatabaseWatcher::Counters() const { return this->impl->Counters(); }
+
+}  // namespace sycamoredrum
--- /dev/null
+++ b/src/failover/database_watcher_test.cc
@@ -0,0 +1,298 @@
+#include "sycamoredrum/database_watcher.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+
+#include "simulation.h"
+
+namespace sycamoredrum {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr Duration kGapTarget = seconds(2);
+
+SimulationOptions WithSeed(std::uint64_t seed) {
+  SimulationOptions options;
+  options.seed = seed;
+  return options;
+}
+
+// Runs until the group has its first primary and is quiet.
+int Settle(Simulation& simulation) {
+  EXPECT_TRUE(
+      simulation.RunUntil([&] { return simulation.AllServersFollowPrimary(); }, seconds(5)));
+  simulation.Run(seconds(5));
+  return simulation.Primary();
+}
+
+bool FailsOver(Simulation& simulation, std::uint64_t old_term, Duration limit) {
+  return simulation.RunUntil([&] { return simulation.LastConfirmedTerm() > old_term; }, limit);
+}
+
+void ExpectRecovered(Simulation& simulation) {
+  simulation.HealEverything();
+  EXPECT_TRUE(
+      simulation.RunUntil([&] { return simulation.AllServersFollowPrimary(); }, minutes(1)));
+  simulation.StopWrites();
+  simulation.Run(seconds(2));
+  EXPECT_TRUE(simulation.AllServersHoldConfirmedWrites());
+  EXPECT_TRUE(simulation.Violations().empty()) << simulation.Violations().front();
+}
+
+// Guards against a new group without a primary, and against rounds that are not reported.
+TEST(DatabaseWatcherTest, NewGroupGetsOnePrimary) {
+  Simulation simulation(WithSeed(1));
+  EXPECT_GE(Settle(simulation), 0);
+  EXPECT_EQ(simulation.PromotionCount(), 1);
+  EXPECT_GT(simulation.RoundsReported(), 100);
+  ExpectRecovered(simulation);
+}
+
+// Guards against a failover gap above the target and against lost writes, for each way in which a
+// primary can fail.
+TEST(DatabaseWatcherTest, LostPrimaryIsReplacedWithinTheTarget) {
+  struct Case {
+    const char* name;
+    std::function<void(Simulation&, int)> fault;
+  };
+  const Case cases[] = {
+      {"killed", [](Simulation& s, int p) { s.Kill(p); }},
+      {"frozen", [](Simulation& s, int p) { s.Freeze(Simulation::ServerId(p)); }},
+      {"cut off alone", [](Simulation& s, int p) { s.CutOff(Simulation::ServerId(p)); }},
+      {"cut off with its watcher",
+       [](Simulation& s, int p) {
+         s.CutOff(Simulation::ServerId(p));
+         s.CutOff(Simulation::WatcherId(p));
+       }},
+      {"killed, answers to promote lost",
+       [](Simulation& s, int p) {
+         s.Kill(p);
+         s.LosePromoteAnswers(2);
+       }},
+      {"killed together with the first watcher",
+       [](Simulation& s, int p) {
+         s.Kill(p);
+         s.Freeze(Simulation::WatcherId(0));
+       }},
+  };
+  for (const Case& c : cases) {
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+      SCOPED_TRACE(std::string(c.name) + ", seed " + std::to_string(seed));
+      Simulation simulation(WithSeed(seed));
+      const int primary = Settle(simulation);
+      const std::uint64_t term = simulation.HighestTerm();
+      c.fault(simulation, primary);
+      EXPECT_TRUE(FailsOver(simulation, term, kGapTarget));
+      EXPECT_EQ(simulation.PromotionCount(), 2);
+      ExpectRecovered(simulation);
+    }
+  }
+}
+
+// Guards against promotions without the agreement of another observer or without a majority.
+TEST(DatabaseWatcherTest, DoesNotPromoteWithoutCause) {
+  struct Case {
+    const char* name;
+    std::function<void(Simulation&, int)> fault;
+  };
+  const Case cases[] = {
+      {"one watcher cut from the primary",
+       [](Simulation& s, int p) { s.Cut(Simulation::WatcherId(0), Simulation::ServerId(p)); }},
+      {"all watchers cut from the primary",
+       [](Simulation& s, int p) {
+         for (int w = 0; w < 3; ++w) {
+           s.Cut(Simulation::WatcherId(w), Simulation::ServerId(p));
+         }
+       }},
+      {"one replica cut from the primary",
+       [](Simulation& s, int p) {
+         s.Cut(Simulation::ServerId((p + 1) % 3), Simulation::ServerId(p));
+       }},
+      {"replicas cut from the primary, one watcher sees it",
+       [](Simulation& s, int p) {
+         s.CutOff(Simulation::ServerId(p));
+         s.Reconnect(Simulation::WatcherId(p));
+       }},
+      {"watcher alone", [](Simulation& s, int) { s.CutOff(Simulation::WatcherId(0)); }},
+      {"watcher paused for 5 s",
+       [](Simulation& s, int) {
+         s.Freeze(Simulation::WatcherId(0));
+         s.Run(seconds(5));
+         s.Wake(Simulation::WatcherId(0));
+       }},
+      {"majority lost",
+       [](Simulation& s, int p) {
+         s.Kill(p);
+         s.Kill((p + 1) % 3);
+       }},
+  };
+  for (const Case& c : cases) {
+    SCOPED_TRACE(c.name);
+    Simulation simulation(WithSeed(3));
+    const int primary = Settle(simulation);
+    c.fault(simulation, primary);
+    simulation.Run(minutes(1));
+    EXPECT_EQ(simulation.PromotionCount(), 1);
+    ExpectRecovered(simulation);
+  }
+}
+
+// Guards against false promotions over lossy and slow links.
+TEST(DatabaseWatcherTest, LossyLinksCauseNoPromotion) {
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    SimulationOptions options = WithSeed(seed);
+    options.jitter = milliseconds(40);
+    Simulation simulation(options);
+    Settle(simulation);
+    simulation.SetLoss(0.05);
+    simulation.Run(minutes(20));
+    EXPECT_EQ(simulation.PromotionCount(), 1);
+    EXPECT_GT(simulation.Watcher(0).Counters().failed_probes, 1000u);
+    ExpectRecovered(simulation);
+  }
+}
+
+// Guards against a paused watcher that takes its own expired timers for failures of the servers,
+// and against probe timeouts that equal the round-trip time of a slow link.
+TEST(DatabaseWatcherTest, SlowLinksAndPausesCauseNoSuspicion) {
+  SimulationOptions options = WithSeed(13);
+  options.link_delay = milliseconds(150);
+  Simulation simulation(options);
+  const int primary = Settle(simulation);
+  const int paused = (primary + 1) % 3;
+  const std::uint64_t before = simulation.Watcher(paused).Counters().suspicions;
+  simulation.Freeze(Simulation::WatcherId(paused));
+  simulation.Run(seconds(5));
+  simulation.Wake(Simulation::WatcherId(paused));
+  simulation.Run(minutes(1));
+  EXPECT_EQ(simulation.Watcher(paused).Counters().suspicions, before);
+  EXPECT_EQ(simulation.PromotionCount(), 1);
+}
+
+// Guards against a promoter that was paused between fence and promote and then creates a second
+// primary.
+TEST(DatabaseWatcherTest, PausedPromoterIsRefused) {
+  Simulation simulation(WithSeed(5));
+  const int primary = Settle(simulation);
+  const std::uint64_t term = simulation.HighestTerm();
+  simulation.InterceptPromote([&] { simulation.Freeze(Simulation::WatcherId(0)); });
+  simulation.Kill(primary);
+  EXPECT_TRUE(FailsOver(simulation, term, kGapTarget));
+  const std::uint64_t new_term = simulation.HighestTerm();
+  simulation.Wake(Simulation::WatcherId(0));
+  simulation.Run(seconds(10));
+  EXPECT_EQ(simulation.HighestTerm(), new_term);
+  EXPECT_EQ(simulation.PromotionCount(), 2);
+  ExpectRecovered(simulation);
+}
+
+// Guards against watchers that refuse each other for ever when they promote at the same time.
+TEST(DatabaseWatcherTest, ConcurrentPromotionsEndWithOnePrimary) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    SimulationOptions options = WithSeed(seed);
+    options.same_rank = true;
+    Simulation simulation(options);
+    const int primary = Settle(simulation);
+    const std::uint64_t term = simulation.HighestTerm();
+    simulation.Kill(primary);
+    EXPECT_TRUE(FailsOver(simulation, term, kGapTarget));
+    ExpectRecovered(simulation);
+  }
+}
+
+// Guards against a server that cannot follow because an abandoned attempt left a promise there.
+TEST(DatabaseWatcherTest, AbandonedPromiseIsResolved) {
+  Simulation simulation(WithSeed(7));
+  const int primary = Settle(simulation);
+  simulation.Server((primary + 1) % 3).Fence(50, "abandoned");
+  EXPECT_FALSE(simulation.AllServersFollowPrimary());
+  simulation.Run(seconds(10));
+  EXPECT_TRUE(simulation.AllServersFollowPrimary());
+  EXPECT_EQ(simulation.Primary(), primary);
+  ExpectRecovered(simulation);
+}
+
+// Guards against a flapping primary that causes a promotion every few seconds.
+TEST(DatabaseWatcherTest, FlappingPrimariesAreBounded) {
+  Simulation simulation(WithSeed(9));
+  Settle(simulation);
+  const int before = simulation.PromotionCount();
+  for (int i = 0; i < 150; ++i) {
+    const int primary = simulation.Primary();
+    if (primary >= 0) {
+      simulation.Kill(primary);
+      simulation.Run(seconds(1));
+      simulation.Restart(primary);
+    }
+    simulation.Run(seconds(1));
+  }
+  // The waits of 2, 4, 8, 16 and then 30 s leave room for at most 4 + 300 / 30 promotions.
+  EXPECT_LE(simulation.PromotionCount() - before, 14);
+  ExpectRecovered(simulation);
+}
+
+// Guards against a hand-over that loses writes, stops writes for long, or delays the next failover.
+TEST(DatabaseWatcherTest, HandOverUnderWritesLosesNothing) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    Simulation simulation(WithSeed(seed));
+    const int primary = Settle(simulation);
+    simulation.SetLeaving(primary, true);
+    ASSERT_TRUE(simulation.RunUntil([&] { return simulation.Gaps().size() == 2; }, seconds(3)));
+    const FailoverGap gap = simulation.Gaps().back();
+    EXPECT_EQ(gap.cause, PromotionCause::kHandOver);
+    EXPECT_LT(gap.PromotionTime(), milliseconds(200));
+    EXPECT_EQ(simulation.Primary(), Simulation::ServerId(simulation.Primary()) == gap.primary
+                                        ? simulation.Primary()
+                                        : -1);
+    EXPECT_NE(simulation.Primary(), primary);
+    simulation.Run(milliseconds(500));
+    const std::uint64_t term = simulation.HighestTerm();
+    simulation.Kill(simulation.Primary());
+    EXPECT_TRUE(FailsOver(simulation, term, kGapTarget));
+    ExpectRecovered(simulation);
+  }
+}
+
+// Guards against a stopped watcher that still acts, and against a changed group that is ignored.
+TEST(DatabaseWatcherTest, StopAndReconfigureTakeEffect) {
+  SimulationOptions options = WithSeed(11);
+  options.watchers = 1;
+  Simulation simulation(options);
+  const int primary = Settle(simulation);
+  const std::string removed = Simulation::ServerId((primary + 1) % 3);
+  WatcherAssignment assignment;
+  for (int i = 0; i < 3; ++i) {
+    if (Simulation::ServerId(i) != removed) {
+      assignment.backend_servers.push_back(Simulation::ServerId(i));
+    }
+  }
+  simulation.Watcher(0).Reconfigure(assignment);
+  simulation.Run(seconds(1));
+  const std::uint64_t probes = simulation.Watcher(0).Counters().probes;
+  simulation.Run(seconds(1));
+  EXPECT_EQ(simulation.Watcher(0).Counters().probes - probes, 20u);
+  simulation.Watcher(0).Stop();
+  const int rounds = simulation.RoundsReported();
+  simulation.Kill(primary);
+  simulation.Run(seconds(10));
+  EXPECT_EQ(simulation.RoundsReported(), rounds);
+  EXPECT_EQ(simulation.PromotionCount(), 1);
+}
+
+// Guards against an opinion losing a field between two watchers.
+TEST(WatcherOpinionTest, JsonKeepsEveryField) {
+  const WatcherOpinion opinion{7, "a", std::chrono::milliseconds(120), true, true};
+  EXPECT_EQ(ParseWatcherOpinion(ToJson(opinion)), opinion);
+  EXPECT_EQ(ParseWatcherOpinion(ToJson(WatcherOpinion{})), WatcherOpinion{});
+  EXPECT_FALSE(ParseWatcherOpinion("{\"term\":1}").has_value());
+}
+
+}  // namespace
+}  // namespace sycamoredrum
--- /dev/null
+++ b/src/failover/watcher_impl.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "group_state.h"
+#include "promotion_spacing.h"
+#include "sycamoredrum/database_watcher.h"
+
+namespace sycamoredrum {
+
+/// Implementation of DatabaseWatcher: probe rounds (watcher_probing.cc) and promotion decisions
+/// (database_watcher.cc).
+class DatabaseWatcher::Impl {
+ public:
+  Impl(std::string database, std::string member, WatcherAssignment assignment, WatcherHooks hooks,
+       WatcherTimings timings, const Clock& clock, Scheduler& scheduler, RandomSource random);
+
+  void Start();
+  void Stop();
+  void Reconfigure(WatcherAssignment assignment);
+  WatcherOpinion Opinion() const;
+  const WatcherCounters& Counters() const { return this->counters; }
+
+ private:
+  struct Round {
+    TimePoint started;
+    std::size_t unanswered = 0;
+  };
+  struct Probe {
+    std::string server;
+    TimePoint sent_at;
+    TimePoint due;
+    bool settled = false;
+    std::shared_ptr<Round> round;  ///< Null for an extra probe between rounds.
+  };
+  /// A reason for a promotion, from the time it was first seen to the promotion.
+  struct Incident {
+    PromotionCause cause = PromotionCause::kPrimaryLost;
+    std::string primary;
+    std::uint64_t term = 0;
+    TimePoint last_heard;
+    TimePoint since;
+    std::optional<TimePoint> ready_since;  ///< All local conditions hold since then.
+    std::optional<TimePoint> started_at;
+    int attempts = 0;
+  };
+
+  void Later(Duration delay, void (Impl::*method)());
+
+  // Probing.
+  void StartRound();
+  void SendProbe(const std::string& server, const std::shared_ptr<Round>& round);
+  void OnProbeAnswer(const std::shared_ptr<Probe>& probe,
+                     const std::optional<BackendServerStatus>& status);
+  void OnProbeTimeout(const std::shared_ptr<Probe>& probe);
+  void SettleFailed(const std::shared_ptr<Probe>& probe);
+  void SettleInRound(const std::shared_ptr<Probe>& probe);
+  void EndRound(const Round& round);
+  void RecordAnswer(const Probe& probe, const BackendServerStatus& status);
+  void CountPause();
+  void RedirectServers();
+
+  // Decisions.
+  void Evaluate();
+  void OnEvaluationTimer();
+  std::optional<PromotionCause> FindCause(const GroupState& group) const;
+  void TrackIncident(const GroupState& group, PromotionCause cause);
+  bool LocalConditionsHold(const GroupState& group, TimePoint now) const;
+  Duration HoldTime(PromotionCause cause) const;
+  Duration SuspicionTime(const GroupState& group) const;
+  std::vector<std::string> LeavingServers() const;
+  void AskOpinions();
+  void OnOpinions(std::uint64_t question, const std::vector<WatcherOpinion>& opinions);
+  bool OthersAgree(const GroupState& group, const std::vector<WatcherOpinion>& opinions) const;
+  void StartPromotion();
+  PromotionRequest MakeRequest(const GroupState& group);
+  void OnPromotionDone(const PromotionResult& result);
+  void CountOutcome(const PromotionResult& result);
+
+  std::string database;
+  std::string member;
+  WatcherAssignment assignment;
+  WatcherHooks hooks;
+  WatcherTimings timings;
+  const Clock& clock;
+  Scheduler& scheduler;
+  RandomSource random;
+
+  ServerObservations servers;
+  WatcherCounters counters;
+  PromotionSpacing spacing;
+  std::optional<TimePoint> next_round_due;
+  bool evaluation_scheduled = false;
+
+  std::optional<Incident> incident;
+  std::uint64_t question = 0;  ///< Number of the last request for opinions.
+  bool asking = false;
+  TimePoint retry_not_before;
+  TimePoint hand_over_not_before;
+  std::uint64_t highest_term_used = 0;  ///< Own attempts never repeat a term.
+  std::unique_ptr<Promotion> promotion;
+  bool promoting = false;
+  std::uint64_t promoted_term = 0;  ///< Term of the last successful attempt.
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace sycamoredrum
