Add membership and duties

Cause: proxies must know which others live, without a coordination service, and must agree on who holds connections, watches databases and watches the platform. Change: SWIM membership without I/O (probes, indirect probes, suspicion, incarnations, piggybacked updates in CBOR datagrams of at most 1,200 bytes with HMAC, joining through seeds, full-state exchange by digest of 64 buckets), and the assignment of duties by rendezvous hashing. Deaths are remembered for 24 h; a process that was paused for more than 12 h forgets its members and believes only answers to messages that it sent afterwards. Conclusion: the decision code of membership is complete; the daemon supplies UDP and peer links.

--- /dev/null
+++ b/src/include/sycamoredrum/membership.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "sycamoredrum/clock.h"
+#include "sycamoredrum/types.h"
+
+namespace sycamoredrum {
+
+enum class MemberState {
+  kAlive,
+  kSuspect,  ///< Did not answer; counts as live until it is declared dead.
+  kLeaving,  ///< Finishes its requests; gets no duties.
+  kDead,
+};
+
+/// Name of a state: "alive", "suspect", "leaving" or "dead".
+std::string_view ToString(MemberState state);
+
+/// What is known of one proxy process.
+struct Member {
+  std::string id;  ///< Unique in the fleet at any one time.
+  std::string data_centre;
+  Endpoint datagrams;   ///< UDP endpoint of membership datagrams.
+  Endpoint peer_links;  ///< TCP endpoint of peer links.
+  std::uint64_t incarnation = 0;
+  MemberState state = MemberState::kAlive;
+
+  bool IsLive() const {
+    return this->state == MemberState::kAlive || this->state == MemberState::kSuspect;
+  }
+};
+
+bool operator==(const Member& a, const Member& b);
+
+struct MembershipHooks {
+  /// Sends one datagram of at most Membership::kMaxDatagramBytes. May lose, delay or repeat it.
+  std::function<void(const Endpoint& to, const std::string& datagram)> send;
+  /// The state of a member changed, or a member was added or removed.
+  std::function<void()> changed;
+  /// Configuration number of this process, for outgoing messages.
+  std::function<std::uint64_t()> configuration_number;
+  /// A message told the configuration number of another member.
+  std::function<void(const std::string& member, std::uint64_t number)> number_heard;
+  /// Asks for a full-state exchange with `member`: send it ExportDigest(), let it answer with
+  /// ExportState(), and give the answer to MergeState().
+  std::function<void(const std::string& member)> exchange;
+};
+
+struct MembershipCounters {
+  std::uint64_t datagrams_sent = 0;
+  std::uint64_t bytes_sent = 0;
+  std::uint64_t datagrams_refused = 0;  ///< Malformed, or with a wrong HMAC.
+  std::uint64_t suspicions = 0;         ///< Begun by a failed probe of this member.
+  std::uint64_t refutations = 0;        ///< Of suspicions or death notices about this member.
+  std::uint64_t pauses = 0;             ///< Times that this process was found to have been paused.
+};
+
+/// SWIM membership of one process, without I/O. Datagrams are CBOR followed by the first 16 bytes
+/// of an HMAC-SHA256 under the fleet key. Must outlive its timers. Not thread-safe.
+class Membership {
+ public:
+  static constexpr std::size_t kMaxDatagramBytes = 1200;
+  static constexpr std::size_t kIndirectProbes = 3;
+  static constexpr Duration kTickInterval = std::chrono::milliseconds(100);
+  static constexpr Duration kProbePeriod = std::chrono::seconds(1);
+  static constexpr Duration kProbeTimeout = std::chrono::milliseconds(300);
+  static constexpr Duration kSuspicionTime = std::chrono::seconds(3);
+  static constexpr Duration kExchangePeriod = std::chrono::seconds(10);
+  /// Interval of looking for members beyond a healed cut, through seeds and dead members.
+  static constexpr Duration kReunionPeriod = std::chrono::seconds(10);
+  /// A tick that is later than this means that the process was paused. Below the suspicion time, so
+  /// that no suspicion runs out while its refutation could not be received.
+  static constexpr Duration kPauseThreshold = std::chrono::seconds(1);
+  /// Dead members are remembered for this time, so that older news cannot bring them back. At the
+  /// two-year size these are about 2,500 records.
+  static constexpr Duration kDeadRetention = std::chrono::hours(24);
+
+  /// `self` is this process; `self.incarnation` is its start time in milliseconds and `self.state`
+  /// is ignored. `fleet_key` is the secret that all proxies share.
+  Membership(Member self, std::string fleet_key, std::vector<Endpoint> seeds, MembershipHooks hooks,
+             const Clock& clock, Scheduler& scheduler, RandomSource random);
+  ~Membership();
+
+  /// Contacts the seeds and begins to probe. Call once.
+  void Start();
+
+  /// Stops the timers. Datagrams are still answered.
+  void Stop();
+
+  /// Announces that this process is leaving. Cannot be undone.
+  void Leave();
+
+  /// Replaces the seeds. An empty list is ignored.
+  void SetSeeds(std::vector<Endpoint> seeds);
+
+  /// Handles a datagram that came from `from`.
+  void HandleDatagram(const Endpoint& from, const std::string& datagram);
+
+  /// Short summary of the known members, for ExportState of another member.
+  std::string ExportDigest() const;
+
+  /// The records in which this process may differ from the owner of `digest`; all records if the
+  /// digest is empty or malformed. Carries no HMAC: peer links authenticate their peers.
+  std::string ExportState(const std::string& digest) const;
+
+  /// Merges the answer of ExportState. Returns false if it is malformed; nothing is merged then.
+  /// Ignored after a pause of more than half of kDeadRetention until a datagram proves to be fresh.
+  bool MergeState(const std::string& state);
+
+  /// This process as others see it.
+  const Member& Self() const;
+
+  /// All members that are not dead, with this process, ordered by id.
+  std::vector<Member> Members() const;
+
+  /// Ids of the live and leaving members without this process.
+  std::vector<std::string> Others() const;
+
+  /// The member with this id, or nullptr. Dead members are found while they are remembered.
+  const Member* Find(const std::string& id) const;
+
+  const MembershipCounters& Counters() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl;
+};
+
+}  // namespace sycamoredrum
--- /dev/null
+++ b/src/membership/duties.cc
@@ -0,0 +1,73 @@
+#include "sycamoredrum/duties.h"
+
+#include <algorithm>
+#include <set>
+
+#include "sycamoredrum/rendezvous.h"
+
+namespace sycamoredrum {
+namespace {
+
+constexpr std::size_t kWatchersFromElsewhere = 2;
+
+// The best `count` candidates for `key`.
+std::vector<std::string> Best(const std::string& key, const std::vector<std::string>& candidates,
+                              std::size_t count) {
+  std::vector<std::string> ranked = RankByRendezvous(key, candidates);
+  ranked.resize(std::min(count, ranked.size()));
+  return ranked;
+}
+
+}  // namespace
+
+DutyCandidates::DutyCandidates(const std::vector<Member>& members) {
+  const bool any_live = std::any_of(members.begin(), members.end(),
+                                    [](const Member& member) { return member.IsLive(); });
+  for (const Member& member : members) {
+    const bool candidate = any_live ? member.IsLive() : member.state == MemberState::kLeaving;
+    if (candidate) {
+      this->by_data_centre[member.data_centre].push_back(member.id);
+      this->all.push_back(member.id);
+    }
+  }
+}
+
+const std::vector<std::string>& DutyCandidates::InDataCentre(const std::string& data_centre) const {
+  static const std::vector<std::string> none;
+  const auto found = this->by_data_centre.find(data_centre);
+  return found == this->by_data_centre.end() ? none : found->second;
+}
+
+std::vector<std::string> HoldersOf(const BackendServerConfig& server,
+                                   const DutyCandidates& candidates) {
+  const std::vector<std::string>& near = candidates.InDataCentre(server.data_centre);
+  return Best("holder/" + server.id, near.empty() ? candidates.Everywhere() : near,
+              kHoldersPerBackendServer);
+}
+
+std::vector<std::string> WatchersOf(const DatabaseConfig& database,
+                                    const DutyCandidates& candidates) {
+  const std::string key = "watcher/" + database.name;
+  std::set<std::string> data_centres;
+  for (const BackendServerConfig& server : database.backend_servers) {
+    data_centres.insert(server.data_centre);
+  }
+  std::vector<std::string> watchers;
+  for (const std::string& data_centre : data_centres) {
+    for (std::string& best : Best(key, candidates.InDataCentre(data_centre), 1)) {
+      watchers.push_back(std::move(best));
+    }
+  }
+  if (watchers.empty()) {
+    return Best(key, candidates.Everywhere(), kWatchersFromElsewhere);
+  }
+  return RankByRendezvous(key, std::move(watchers));
+}
+
+std::vector<std::string> PlatformWatchersOf(const std::string& data_centre,
+                                            const DutyCandidates& candidates) {
+  return Best("platform/" + data_centre, candidates.InDataCentre(data_centre),
+              kPlatformWatchersPerDataCentre);
+}
+
+}  // namespace sycamoredrum
--- /dev/null
+++ b/src/membership/membership_messages.cc
@@ -0,0 +1,256 @@
+#include <algorithm>
+#include <utility>
+
+#include "membership_impl.h"
+
+namespace sycamoredrum {
+
+void Membership::Impl::HandleDatagram(const Endpoint& from, const std::string& datagram) {
+  this->CheckForPause();
+  const std::optional<MembershipMessage> message = this->codec.Decode(datagram);
+  if (!message) {
+    ++this->counters.datagrams_refused;
+    return;
+  }
+  if (message->sender.id == this->self.id) {
+    // A datagram of an earlier process with this id.
+    this->MergeOwnRecord(message->sender);
+    return;
+  }
+  if (this->rejoining && !this->HandleWhileRejoining(from, *message)) {
+    this->FlushChanged();
+    return;
+  }
+  this->HandleSender(*message);
+  for (const MemberRecord& record : message->updates) {
+    this->Merge(record);
+  }
+  switch (message->kind) {
+    case MessageKind::kPing:
+    case MessageKind::kJoin:
+      this->HandlePing(from, *message);
+      break;
+    case MessageKind::kAck:
+      this->HandleAck(*message);
+      break;
+    case MessageKind::kPingRequest:
+      this->HandlePingRequest(from, *message);
+      break;
+  }
+  this->FlushChanged();
+}
+
+// The socket may hold datagrams from before a long pause. Only an answer to a message that was sent
+// after it is certainly fresh; it ends the rejoining, and its datagram is handled as usual.
+bool Membership::Impl::HandleWhileRejoining(const Endpoint& from,
+                                            const MembershipMessage& message) {
+  if (message.kind == MessageKind::kAck && message.sequence >= this->first_fresh_sequence) {
+    this->rejoining = false;
+    return true;
+  }
+  if (message.kind == MessageKind::kPing) {
+    this->HandlePing(from, message);
+    this->SendJoin(from);
+  }
+  return false;
+}
+
+void Membership::Impl::HandleSender(const MembershipMessage& message) {
+  this->Merge(MemberRecord{message.sender, {}});
+  const MemberTable::Entry* entry = this->table.Find(message.sender.id);
+  const bool current = entry != nullptr && message.sender.incarnation >= entry->member.incarnation;
+  if (current && entry->member.state != MemberState::kDead) {
+    this->hooks.number_heard(message.sender.id, message.configuration_number);
+  }
+  if (current && entry->member.state == MemberState::kLeaving) {
+    // The suspicion of a leaving member is known to this process only.
+    this->suspicions.erase(message.sender.id);
+  }
+}
+
+void Membership::Impl::HandlePing(const Endpoint& from, const MembershipMessage& message) {
+  this->SendAck(from, message.sender.id, message.sequence, this->self.id,
+                message.kind == MessageKind::kJoin);
+}
+
+void Membership::Impl::HandleAck(const MembershipMessage& message) {
+  if (this->probe && this->probe->sequence == message.sequence &&
+      this->probe->id == message.target_id) {
+    this->probe->acknowledged = true;
+  }
+  const auto relay = this->relays.find(message.sequence);
+  if (relay != this->relays.end() && relay->second.target_id == message.target_id) {
+    const Relay done = relay->second;
+    this->relays.erase(relay);
+    this->SendAck(done.requester, "", done.requester_sequence, done.target_id, false);
+  }
+  this->NoticeDeadSender(message.sender.id);
+}
+
+// Tells a member that answered although it is believed dead. Pings need no such notice: their
+// answer carries it.
+void Membership::Impl::NoticeDeadSender(const std::string& id) {
+  MemberTable::Entry* entry = this->table.Find(id);
+  if (entry == nullptr || entry->member.state != MemberState::kDead ||
+      this->clock.Now() - entry->noticed_at < kProbePeriod) {
+    return;
+  }
+  entry->noticed_at = this->clock.Now();
+  this->SendPing(entry->member, this->next_sequence++);
+}
+
+void Membership::Impl::HandlePingRequest(const Endpoint& from, const MembershipMessage& message) {
+  const std::uint64_t sequence = this->next_sequence++;
+  this->relays[sequence] =
+      Relay{from, message.sequence, message.target_id, this->clock.Now() + kProbePeriod};
+  MembershipMessage ping;
+  ping.kind = MessageKind::kPing;
+  ping.sequence = sequence;
+  this->Send(message.target, message.target_id, std::move(ping));
+}
+
+// Merging.
+
+void Membership::Impl::Merge(const MemberRecord& record) {
+  if (record.member.id == this->self.id) {
+    this->MergeOwnRecord(record.member);
+    return;
+  }
+  MemberRecord news = record;
+  if (this->ClaimsOwnEndpoint(record.member)) {
+    news.member.state = MemberState::kDead;
+  }
+  std::vector<std::string> changed;
+  const MemberTable::Change change = this->table.Merge(news, changed);
+  if (change == MemberTable::Change::kStale) {
+    // Somebody holds old news; the death is passed on again.
+    this->updates.Add(record.member.id);
+  }
+  if (change == MemberTable::Change::kAdded) {
+    const std::size_t place = this->RandomBelow(this->ring.size() + 1);
+    this->ring.insert(this->ring.begin() + static_cast<std::ptrdiff_t>(place), record.member.id);
+  }
+  for (const std::string& id : changed) {
+    this->HandleChange(id);
+  }
+}
+
+void Membership::Impl::HandleChange(const std::string& id) {
+  this->member_changed = true;
+  this->updates.Add(id);
+  const MemberState state = this->table.Find(id)->member.state;
+  if (state == MemberState::kSuspect) {
+    this->suspicions.insert_or_assign(id, this->clock.Now() + kSuspicionTime);
+  } else {
+    this->suspicions.erase(id);
+  }
+}
+
+void Membership::Impl::MergeOwnRecord(const Member& record) {
+  const bool refutable =
+      record.incarnation > this->self.incarnation ||
+      (record.incarnation == this->self.incarnation && record.state > this->self.state);
+  if (refutable) {
+    this->Refute(record.incarnation);
+  }
+}
+
+// True for an earlier process at this endpoint. It had another id, and its clock may have been
+// ahead; then this process takes a higher incarnation, so that it wins everywhere.
+bool Membership::Impl::ClaimsOwnEndpoint(const Member& record) {
+  if (record.datagrams != this->self.datagrams || record.state == MemberState::kDead) {
+    return false;
+  }
+  if (record.incarnation >= this->self.incarnation) {
+    this->Refute(record.incarnation);
+  }
+  return true;
+}
+
+void Membership::Impl::Refute(std::uint64_t incarnation) {
+  ++this->counters.refutations;
+  this->self.incarnation = incarnation + 1;
+  this->updates.Add(this->self.id);
+}
+
+// Sending.
+
+void Membership::Impl::SendPing(const Member& member, std::uint64_t sequence) {
+  MembershipMessage message;
+  message.kind = MessageKind::kPing;
+  message.sequence = sequence;
+  this->Send(member.datagrams, member.id, std::move(message));
+}
+
+void Membership::Impl::SendJoin(const Endpoint& to) {
+  MembershipMessage message;
+  message.kind = MessageKind::kJoin;
+  message.sequence = this->next_sequence++;
+  this->Send(to, "", std::move(message));
+}
+
+void Membership::Impl::SendAck(const Endpoint& to, const std::string& receiver_id,
+                               std::uint64_t sequence, const std::string& target_id,
+                               bool many_records) {
+  MembershipMessage message;
+  message.kind = MessageKind::kAck;
+  message.sequence = sequence;
+  message.target_id = target_id;
+  this->Send(to, receiver_id, std::move(message), many_records);
+}
+
+void Membership::Impl::Send(const Endpoint& to, const std::string& receiver_id,
+                            MembershipMessage message, bool many_records) {
+  message.sender = this->self;
+  message.configuration_number = this->hooks.configuration_number();
+  const std::optional<MemberRecord> receiver = this->table.RecordOf(receiver_id);
+  const bool must_know = receiver && (receiver->member.state == MemberState::kSuspect ||
+                                      receiver->member.state == MemberState::kDead);
+  if (must_know) {
+    message.updates.push_back(*receiver);
+  }
+  // The length of the list of updates takes up to 2 more bytes than that of an empty list.
+  constexpr std::size_t kListLengthBytes = 2;
+  const std::size_t used = this->codec.Encode(message).size() + kListLengthBytes;
+  const std::size_t space = used >= kMaxDatagramBytes ? 0 : kMaxDatagramBytes - used;
+  this->updates.Take(
+      space, this->table.CountNotDead() + 1,
+      [this](const std::string& id) { return this->RecordOf(id); }, message.updates);
+  if (many_records) {
+    this->AddRandomRecords(kMaxDatagramBytes, message);
+  }
+  const std::string datagram = this->codec.Encode(message);
+  ++this->counters.datagrams_sent;
+  this->counters.bytes_sent += datagram.size();
+  this->hooks.send(to, datagram);
+}
+
+// Fills a message up to `limit` bytes, so that a new member knows others at once.
+void Membership::Impl::AddRandomRecords(std::size_t limit, MembershipMessage& message) {
+  constexpr std::size_t kMaxRandomRecords = 32;
+  constexpr std::size_t kListLengthBytes = 2;
+  std::size_t used = this->codec.Encode(message).size() + kListLengthBytes;
+  for (const std::string& id : this->Sample(this->table.NotDead(), kMaxRandomRecords)) {
+    const MemberRecord record = *this->table.RecordOf(id);
+    used += MembershipCodec::EncodedSize(record);
+    if (used > limit) {
+      return;
+    }
+    message.updates.push_back(record);
+  }
+}
+
+std::optional<MemberRecord> Membership::Impl::RecordOf(const std::string& id) const {
+  return id == this->self.id ? MemberRecord{this->self, {}} : this->table.RecordOf(id);
+}
+
+std::vector<std::string> Membership::Impl::Sample(std::vector<std::string> ids, std::size_t count) {
+  const std::size_t picked = std::min(count, ids.size());
+  for (std::size_t i = 0; i < picked; ++i) {
+    std::swap(ids[i], ids[i + this->RandomBelow(ids.size() - i)]);
+  }
+  ids.resize(picked);
+  return ids;
+}
+
+}  // namespace sycamoredrum
