Correct two lint findings in the platform stand-in

Cause: clang-tidy reported a widening multiplication and a copy on return. Change: a typed constant, and a non-const local. No change of behaviour. Conclusion: clang-tidy reports nothing for src/standin.

--- a/src/standin/platform_model.cc
+++ b/src/standin/platform_model.cc
@@ -60,7 +60,7 @@
 }
 
 std::string PlatformModel::CreateLease(Duration time_to_live) {
-  const std::string id = std::to_string(this->next_lease++);
+  std::string id = std::to_string(this->next_lease++);
   this->leases[id] = Lease{time_to_live, this->clock.Now() + time_to_live};
   return id;
 }
--- a/src/standin/platform_model.h
+++ b/src/standin/platform_model.h
@@ -14,7 +14,7 @@
 /// Stand-in for the platform's key-value service, without I/O. Not thread-safe.
 class PlatformModel {
  public:
-  static constexpr std::size_t kMaxValueBytes = 1024 * 1024;
+  static constexpr std::size_t kMaxValueBytes = std::size_t{1024} * 1024;
   static constexpr int kMaxListItems = 1000;
 
   explicit PlatformModel(const Clock& clock) : clock(clock) {}
