Add the daemon, the first commands, the fleet for process tests and the demo

Cause: the decision libraries, net and the stand-ins were not connected; nothing was served. Change: src/proxy connects them (entry, holder, views, watchers, membership, configuration, VM list, admin port); `sycamoredrum proxy`, `ticket apply` and `version`; testsuite/support starts a fleet on loopback addresses of its own; testsuite/demo shows the main job. That case now has a history that does exclude the position, and "tail of a lower term" is a case of its own.

--- /dev/null
+++ b/src/include/sycamoredrum/proxy.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "sycamoredrum/settings.h"
+
+namespace sycamoredrum {
+
+/// The daemon: all adapters between the network and the decision libraries.
+class Proxy {
+ public:
+  explicit Proxy(ProxySettings settings);
+  ~Proxy();
+  Proxy(const Proxy&) = delete;
+  Proxy& operator=(const Proxy&) = delete;
+
+  /// Opens the ports and joins the fleet. Returns false on failure; LastReason() then says why.
+  bool Start();
+
+  /// Runs until a graceful stop, requested by SIGTERM, SIGINT or an operator, has ended.
+  void Run();
+
+  const std::string& LastReason() const { return this->last_reason; }
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl;
+  std::string last_reason;
+};
+
+}  // namespace sycamoredrum
--- /dev/null
+++ b/src/proxy/admin_service.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "configuration_service.h"
+#include "entry_service.h"
+#include "holder_registry.h"
+#include "membership_service.h"
+#include "shared_state.h"
+#include "sycamoredrum/http.h"
+#include "sycamoredrum/metrics.h"
+#include "sycamoredrum/read_router.h"
+#include "sycamoredrum/settings.h"
+
+namespace sycamoredrum {
+
+/// Operators' HTTP interface: /metrics, /healthz, /readyz, /v1/status, /v1/route and /v1/drain.
+/// Thread-safe.
+class AdminService {
+ public:
+  struct Parts {
+    EventLoop& loop;
+    const ProxySettings& settings;
+    const ConfigurationSnapshot& configuration;
+    const FleetSnapshot& fleet;
+    const ViewTable& views;
+    ConfigurationService& configuration_service;
+    EntryService& entry;
+    HolderRegistry& holders;
+    Metrics& metrics;
+    RandomSource random;
+    std::function<bool()> ready;
+    std::function<void()> drain;
+  };
+
+  explicit AdminService(Parts parts) : parts(std::move(parts)) {}
+
+  void Handle(const HttpRequest& http, const HttpRespond& respond);
+
+ private:
+  HttpResponse Status();
+  HttpResponse Route(const HttpRequest& http);
+  HttpResponse ExposeMetrics();
+
+  Parts parts;
+};
+
+}  // namespace sycamoredrum
--- a/src/proxy/backend_connections.cc
+++ b/src/proxy/backend_connections.cc
@@ -61,8 +61,8 @@
   }
   connection->Send(MakePost("/v1/execute", ToJson(request)), timeout,
                    [connection, callback = std::move(callback)](const HttpResult& result) {
-                     const bool answered = result.Ok() && result.response.status == kHttpOk;
-                     callback(answered ? ParseBackendReply(result.response.body) : std::nullopt);
+                     // Refusals have other status codes than 200, with the same body.
+                     callback(result.Ok() ? ParseBackendReply(result.response.body) : std::nullopt);
                    });
 }
 
--- a/src/proxy/backend_control.cc
+++ b/src/proxy/backend_control.cc
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr int kHttpOk = 200;
-constexpr int kHttpConflict = 409;  // A refused control operation; the body is a status.
 
 HttpRequest PostRequest(const std::string& target, std::string body) {
   HttpRequest request;
@@ -19,8 +18,7 @@
 
 HttpCallback ForStatus(BackendControl::StatusCallback callback) {
   return [callback = std::move(callback)](const HttpResult& result) {
-    const bool answered = result.Ok() && (result.response.status == kHttpOk ||
-                                          result.response.status == kHttpConflict);
+    const bool answered = result.Ok() && result.response.status == kHttpOk;
     callback(answered ? ParseBackendServerStatus(result.response.body) : std::nullopt);
   };
 }
@@ -33,8 +31,9 @@
       nlohmann::json::parse(result.response.body, nullptr, /*allow_exceptions=*/false);
   try {
     PositionAnswer answer;
-    answer.contains = json.at("contains").get<bool>();
-    answer.not_in_history = json.at("not_in_history").get<bool>();
+    const auto outcome = json.at("outcome").get<std::string>();
+    answer.contains = outcome == "contained";
+    answer.not_in_history = outcome == "not_in_history";
     answer.promised_term = json.at("promised_term").get<std::uint64_t>();
     return answer;
   } catch (const nlohmann::json::exception&) {
--- /dev/null
+++ b/src/proxy/configuration_service.cc
@@ -0,0 +1,157 @@
+#include "configuration_service.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "sycamoredrum/duties.h"
+
+namespace sycamoredrum {
+namespace {
+
+std::optional<TicketsAnswer> ParseTicketsAnswer(const PeerAnswer& reply) {
+  if (reply.error != PeerError::kNone) {
+    return std::nullopt;
+  }
+  const nlohmann::json json =
+      nlohmann::json::parse(reply.body, nullptr, /*allow_exceptions=*/false);
+  try {
+    TicketsAnswer answer;
+    answer.number = json.at("number").get<std::uint64_t>();
+    for (const nlohmann::json& ticket : json.at("tickets")) {
+      answer.tickets.push_back(SerializedTicket{ticket.at("number").get<std::uint64_t>(),
+                                                ticket.at("json").get<std::string>()});
+    }
+    return answer;
+  } catch (const nlohmann::json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace
+
+ConfigurationService::ConfigurationService(Parts parts)
+    : parts(std::move(parts)), context(SerialContext::Create(this->parts.loop)) {
+  this->log.AddListener([this](const std::shared_ptr<const Configuration>& configuration) {
+    this->HandleChange(configuration);
+  });
+  this->sync =
+      std::make_unique<ConfigurationSync>(this->MakeHooks(), this->MakePlatform(), this->log,
+                                          this->parts.loop, *this->context, this->parts.random);
+}
+
+ConfigurationService::~ConfigurationService() { this->context->Close(); }
+
+PlatformClient ConfigurationService::MakePlatform() {
+  PlatformClient serial;
+  const PlatformClient& platform = this->parts.platform;
+  serial.get = [this, get = platform.get](const std::string& key,
+                                          PlatformClient::GetCallback callback) {
+    get(key, this->context->Wrap(std::move(callback)));
+  };
+  serial.put = [this, put = platform.put](const std::string& key, const std::string& value,
+                                          std::uint64_t expected_revision,
+                                          PlatformClient::PutCallback callback) {
+    put(key, value, expected_revision, this->context->Wrap(std::move(callback)));
+  };
+  serial.list = [this, list = platform.list](const std::string& prefix, const std::string& after,
+                                             int limit, PlatformClient::ListCallback callback) {
+    list(prefix, after, limit, this->context->Wrap(std::move(callback)));
+  };
+  serial.watch = [this, watch = platform.watch](const std::string& prefix,
+                                                std::uint64_t after_revision, Duration timeout,
+                                                PlatformClient::ListCallback callback) {
+    watch(prefix, after_revision, timeout, this->context->Wrap(std::move(callback)));
+  };
+  return serial;
+}
+
+ConfigurationSyncHooks ConfigurationService::MakeHooks() {
+  ConfigurationSyncHooks hooks;
+  hooks.should_watch = [this] {
+    const auto fleet = this->parts.fleet.Get();
+    const auto watchers = PlatformWatchersOf(this->parts.data_centre, fleet->candidates);
+    return std::find(watchers.begin(), watchers.end(), this->parts.member) != watchers.end();
+  };
+  hooks.members = [this] {
+    std::vector<std::string> others;
+    for (const Member& member : this->parts.fleet.Get()->members) {
+      if (member.id != this->parts.member) {
+        others.push_back(member.id);
+      }
+    }
+    return others;
+  };
+  hooks.announce = [this](const std::string& member, std::uint64_t number) {
+    this->parts.call(member, "announce", nlohmann::json({{"number", number}}).dump(), kPullTimeout,
+                     [](const PeerAnswer&) {});
+  };
+  hooks.pull = [this](const std::string& member, std::uint64_t after, std::size_t limit,
+                      ConfigurationSyncHooks::PullCallback done) {
+    this->Pull(member, after, limit, this->context->Wrap(std::move(done)));
+  };
+  hooks.ready = [this] {
+    this->ready = true;
+    this->parts.logger.Info("configuration_ready", {{"number", absl::StrCat(this->log.Number())}});
+  };
+  return hooks;
+}
+
+void ConfigurationService::Pull(const std::string& member, std::uint64_t after, std::size_t limit,
+                                ConfigurationSyncHooks::PullCallback done) {
+  const nlohmann::json body = {{"after", after}, {"limit", limit}};
+  this->parts.call(
+      member, "tickets", body.dump(), kPullTimeout,
+      [done = std::move(done)](const PeerAnswer& reply) { done(ParseTicketsAnswer(reply)); });
+}
+
+void ConfigurationService::HandleChange(const std::shared_ptr<const Configuration>& configuration) {
+  this->parts.configuration.Set(configuration);
+  this->parts.metrics.Set(Metric::kConfigurationNumber, {},
+                          static_cast<double>(configuration->Number()));
+  this->parts.logger.Info("configuration_in_force",
+                          {{"number", absl::StrCat(configuration->Number())}});
+  this->parts.loop.Post([changed = this->parts.changed] { changed(); });
+}
+
+void ConfigurationService::Start() {
+  this->context->Run([this] { this->sync->Start(); });
+}
+
+void ConfigurationService::Stop() {
+  this->context->Run([this] { this->sync->Stop(); });
+}
+
+void ConfigurationService::HandleNumber(const std::string& member, std::uint64_t number) {
+  this->context->Run([&] { this->sync->HandleNumber(member, number); });
+}
+
+std::string ConfigurationService::AnswerTickets(const std::string& body) {
+  const nlohmann::json json = nlohmann::json::parse(body, nullptr, /*allow_exceptions=*/false);
+  std::uint64_t after = 0;
+  std::size_t limit = ConfigurationSync::kTicketsPerMessage;
+  if (json.is_object()) {
+    after = json.value("after", after);
+    limit = json.value("limit", limit);
+  }
+  const TicketsAnswer answer = this->context->Run([&] {
+    return this->sync->HandlePull(after, std::min(limit, ConfigurationSync::kTicketsPerMessage));
+  });
+  nlohmann::json tickets = nlohmann::json::array();
+  for (const SerializedTicket& ticket : answer.tickets) {
+    tickets.push_back({{"number", ticket.number}, {"json", ticket.json}});
+  }
+  return nlohmann::json({{"number", answer.number}, {"tickets", tickets}}).dump();
+}
+
+void ConfigurationService::HandleAnnounce(const std::string& member, const std::string& body) {
+  const nlohmann::json json = nlohmann::json::parse(body, nullptr, /*allow_exceptions=*/false);
+  const auto found = json.is_object() ? json.find("number") : json.end();
+  if (json.is_object() && found != json.end() && found->is_number_unsigned()) {
+    this->HandleNumber(member, found->get<std::uint64_t>());
+  }
+}
+
+}  // namespace sycamoredrum
--- /dev/null
+++ b/src/proxy/holder_registry.cc
@@ -0,0 +1,175 @@
+#include "holder_registry.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace sycamoredrum {
+
+HolderRegistry::HolderRegistry(Parts parts)
+    : parts(std::move(parts)), context(SerialContext::Create(this->parts.loop)) {
+  this->service =
+      std::make_unique<HolderService>(this->MakeHooks(), this->parts.loop, *this->context);
+  this->transactions = std::make_unique<TransactionTable>(
+      this->MakeHooks(), this->parts.member, this->parts.loop, *this->context, this->parts.random);
+  this->context->RunAfter(kSampleInterval, [this] { this->Sample(); });
+}
+
+HolderRegistry::~HolderRegistry() { this->context->Close(); }
+
+HolderHooks HolderRegistry::MakeHooks() {
+  HolderHooks hooks;
+  hooks.database = [this](const std::string& database) {
+    return FindDatabase(this->parts.configuration, database);
+  };
+  hooks.group_weight = [this](const std::string& name) {
+    const auto configuration = this->parts.configuration.Get();
+    const CallerGroupConfig* group = configuration->FindCallerGroup(name);
+    return group == nullptr ? 1 : group->weight;
+  };
+  hooks.pool = [this](const std::string& server) -> ConnectionPool* {
+    const auto found = this->pools.find(server);
+    return found == this->pools.end() ? nullptr : found->second.pool.get();
+  };
+  hooks.execute = [this](ConnectionId connection, const BackendRequest& request, Duration timeout,
+                         BackendCallback callback) {
+    this->parts.connections.Execute(connection, request, timeout,
+                                    this->context->Wrap(std::move(callback)));
+  };
+  hooks.wait_position = [this](const std::string& id, const LogPosition& position, Duration timeout,
+                               WaitCallback callback) {
+    const auto configuration = this->parts.configuration.Get();
+    for (const auto& entry : configuration->Databases()) {
+      const BackendServerConfig* server = entry.second.FindBackendServer(id);
+      if (server == nullptr) {
+        continue;
+      }
+      auto wrapped = this->context->Wrap(std::move(callback));
+      this->parts.control.Wait(
+          server->control, position, timeout,
+          [wrapped](const std::optional<PositionAnswer>& answer) {
+            std::optional<WaitReply> reply;
+            if (answer) {
+              reply = WaitReply{answer->contains, answer->not_in_history, answer->promised_term};
+            }
+            wrapped(reply);
+          });
+      return;
+    }
+  };
+  return hooks;
+}
+
+ConnectionPoolHooks HolderRegistry::MakePoolHooks(const BackendServerConfig& server,
+                                                  const std::string& database) {
+  ConnectionPoolHooks hooks;
+  hooks.open = [this, endpoint = server.statements, database](OpenCallback callback) {
+    this->parts.connections.Open(endpoint, database, kOpenTimeout,
+                                 this->context->Wrap(std::move(callback)));
+  };
+  hooks.close = [this](ConnectionId connection) { this->parts.connections.Close(connection); };
+  return hooks;
+}
+
+void HolderRegistry::Refresh() {
+  this->context->Run([this] {
+    for (auto& entry : this->pools) {
+      entry.second.wanted = false;
+    }
+    const auto configuration = this->parts.configuration.Get();
+    for (const auto& entry : configuration->Databases()) {
+      for (const BackendServerConfig& server : entry.second.backend_servers) {
+        this->RefreshServer(entry.second, server);
+      }
+    }
+    this->DropUnwantedPools();
+  });
+}
+
+void HolderRegistry::RefreshServer(const DatabaseConfig& database,
+                                   const BackendServerConfig& server) {
+  const auto fleet = this->parts.fleet.Get();
+  const std::vector<std::string> holders = HoldersOf(server, fleet->candidates);
+  if (std::find(holders.begin(), holders.end(), this->parts.member) == holders.end()) {
+    return;
+  }
+  const int share = std::max(1, server.connection_cap / static_cast<int>(holders.size()));
+  Held& held = this->pools[server.id];
+  held.wanted = true;
+  if (held.pool == nullptr) {
+    held.pool = std::make_unique<ConnectionPool>(this->MakePoolHooks(server, database.name), share,
+                                                 this->parts.loop, *this->context);
+  }
+  held.pool->SetLimit(share);
+  held.pool->SetLeaving(IsLeaving(server, this->parts.leaving));
+}
+
+void HolderRegistry::DropUnwantedPools() {
+  for (auto entry = this->pools.begin(); entry != this->pools.end();) {
+    Held& held = entry->second;
+    if (!held.wanted) {
+      held.pool->SetLeaving(true);
+    }
+    const bool drained = !held.wanted && held.pool->Total() == 0 && held.pool->Waiting() == 0;
+    entry = drained ? this->pools.erase(entry) : std::next(entry);
+  }
+}
+
+void HolderRegistry::Execute(ExecuteCommand command, const std::string& entry,
+                             ExecuteCallback callback) {
+  this->parts.loop.Post([context = this->context, this, command = std::move(command), entry,
+                         callback = std::move(callback)] {
+    context->Run([&] {
+      if (command.request.step == TransactionStep::kSingle) {
+        this->service->Execute(command, callback);
+      } else {
+        this->transactions->Execute(command, entry, callback);
+      }
+    });
+  });
+}
+
+void HolderRegistry::MemberGone(const std::string& entry) {
+  this->context->Run([&] { this->transactions->MemberGone(entry); });
+}
+
+void HolderRegistry::StopTransactions() {
+  this->context->Run([&] { this->transactions->Stop(); });
+}
+
+bool HolderRegistry::Idle() {
+  return this->context->Run(
+      [&] { return this->service->InProgress() == 0 && this->transactions->Empty(); });
+}
+
+std::string HolderRegistry::DescribePools() {
+  return this->context->Run([this] {
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto& [server, held] : this->pools) {
+      list.push_back({{"backend_server", server},
+                      {"limit", held.pool->EffectiveLimit()},
+                      {"leased", held.pool->Leased()},
+                      {"idle", held.pool->Idle()},
+                      {"opening", held.pool->Opening()},
+                      {"waiting", held.pool->Waiting()}});
+    }
+    return list.dump();
+  });
+}
+
+void HolderRegistry::Sample() {
+  for (const auto& [server, held] : this->pools) {
+    Metrics& metrics = this->parts.metrics;
+    metrics.Set(Metric::kPoolConnections, {server, "leased"},
+                static_cast<double>(held.pool->Leased()));
+    metrics.Set(Metric::kPoolConnections, {server, "idle"}, static_cast<double>(held.pool->Idle()));
+    metrics.Set(Metric::kPoolConnections, {server, "waiting"},
+                static_cast<double>(held.pool->Waiting()));
+  }
+  this->parts.metrics.Set(Metric::kOpenTransactions, {},
+                          static_cast<double>(this->transactions->Size()));
+  this->DropUnwantedPools();
+  this->context->RunAfter(kSampleInterval, [this] { this->Sample(); });
+}
+
+}  // namespace sycamoredrum
--- /dev/null
+++ b/src/proxy/peer_links.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <absl/base/thread_annotations.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/synchronization/mutex.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "shared_state.h"
+#include "sycamoredrum/event_loop.h"
+#include "sycamoredrum/metrics.h"
+#include "sycamoredrum/peer_link.h"
+
+namespace sycamoredrum {
+
+/// Links to other members, opened when first used. Thread-safe.
+class PeerLinks {
+ public:
+  PeerLinks(EventLoop& loop, PeerIdentity identity, const FleetSnapshot& fleet, Metrics& metrics);
+
+  /// Sends a request to a member of the fleet. Calls back exactly once, on a worker, never inside
+  /// the call. A member that is not known counts as kNotSent.
+  void Call(const std::string& member, const std::string& kind, const std::string& body,
+            Duration timeout, PeerCallback callback);
+
+  /// Drops the links to members that are gone.
+  void Forget(const std::vector<std::string>& members);
+
+ private:
+  struct Entry {
+    Endpoint endpoint;
+    std::shared_ptr<PeerLink> link;
+  };
+
+  std::shared_ptr<PeerLink> Find(const std::string& member);
+
+  EventLoop& loop;
+  const PeerIdentity identity;
+  const FleetSnapshot& fleet;
+  Metrics& metrics;
+  absl::Mutex mutex;
+  absl::flat_hash_map<std::string, Entry> links ABSL_GUARDED_BY(mutex);
+};
+
+}  // namespace sycamoredrum
--- /dev/null
+++ b/src/proxy/shared_state.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <absl/base/thread_annotations.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/synchronization/mutex.h>
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "sycamoredrum/clock.h"
+#include "sycamoredrum/configuration.h"
+#include "sycamoredrum/database_view.h"
+#include "sycamoredrum/duties.h"
+#include "sycamoredrum/peer_link.h"
+#include "sycamoredrum/request_executor.h"
+
+namespace sycamoredrum {
+
+/// An immutable value that all threads read and one part of the daemon replaces. Never empty.
+template <typename Value>
+class Snapshot {
+ public:
+  Snapshot() : value(std::make_shared<const Value>()) {}
+
+  std::shared_ptr<const Value> Get() const {
+    const absl::MutexLock lock(&this->mutex);
+    return this->value;
+  }
+  void Set(std::shared_ptr<const Value> replacement) {
+    const absl::MutexLock lock(&this->mutex);
+    this->value = std::move(replacement);
+  }
+
+ private:
+  mutable absl::Mutex mutex;
+  std::shared_ptr<const Value> value ABSL_GUARDED_BY(mutex);
+};
+
+using ConfigurationSnapshot = Snapshot<Configuration>;
+
+/// The database inside the configuration in force, or nullptr. Keeps the configuration alive.
+inline std::shared_ptr<const DatabaseConfig> FindDatabase(const ConfigurationSnapshot& snapshot,
+                                                          const std::string& name) {
+  const std::shared_ptr<const Configuration> configuration = snapshot.Get();
+  const DatabaseConfig* database = configuration->FindDatabase(name);
+  return database == nullptr ? nullptr
+                             : std::shared_ptr<const DatabaseConfig>(configuration, database);
+}
+
+/// The membership as this process sees it, and the duties that follow from it.
+struct Fleet {
+  std::vector<Member> members;
+  DutyCandidates candidates{std::vector<Member>()};
+
+  const Member* Find(const std::string& id) const {
+    for (const Member& member : this->members) {
+      if (member.id == id) {
+        return &member;
+      }
+    }
+    return nullptr;
+  }
+};
+
+using FleetSnapshot = Snapshot<Fleet>;
+
+/// VMs that the platform lists as leaving.
+struct LeavingVms {
+  std::set<std::string> ids;
+};
+
+using LeavingSnapshot = Snapshot<LeavingVms>;
+
+inline bool IsLeaving(const BackendServerConfig& server, const LeavingSnapshot& leaving) {
+  return server.leaving || leaving.Get()->ids.count(server.vm) != 0;
+}
+
+/// The latest view of each database. Thread-safe.
+class ViewTable {
+ public:
+  /// Returns nullptr if nothing is known of the database.
+  DatabaseViewPtr Get(const std::string& database) const {
+    const absl::MutexLock lock(&this->mutex);
+    const auto found = this->views.find(database);
+    return found == this->views.end() ? nullptr : found->second;
+  }
+
+  /// Keeps `view` unless the table has one with a newer proof.
+  void Offer(const DatabaseView& view) {
+    const absl::MutexLock lock(&this->mutex);
+    DatabaseViewPtr& entry = this->views[view.database];
+    const bool older = entry != nullptr && entry->proof &&
+                       (!view.proof || view.proof->proven_at < entry->proof->proven_at);
+    if (!older) {
+      entry = std::make_shared<const DatabaseView>(view);
+    }
+  }
+
+ private:
+  mutable absl::Mutex mutex;
+  absl::flat_hash_map<std::string, DatabaseViewPtr> views ABSL_GUARDED_BY(mutex);
+};
+
+/// Sends a request to another member. Calls back exactly once, never from inside the call.
+using PeerCall = std::function<void(const std::string& member, const std::string& kind,
+                                    std::string body, Duration timeout, PeerCallback)>;
+
+}  // namespace sycamoredrum
--- /dev/null
+++ b/src/proxy/watcher_service.cc
@@ -0,0 +1,276 @@
+#include "watcher_service.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "sycamoredrum/ticket.h"
+
+namespace sycamoredrum {
+namespace {
+
+std::string Milliseconds(Duration duration) {
+  return absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+}  // namespace
+
+struct WatcherService::Collection {
+  absl::Mutex mutex;
+  std::size_t outstanding ABSL_GUARDED_BY(mutex) = 0;
+  std::vector<WatcherOpinion> opinions ABSL_GUARDED_BY(mutex);
+};
+
+WatcherService::WatcherService(Parts parts) : parts(std::move(parts)) {}
+
+WatcherService::~WatcherService() { this->Stop(); }
+
+void WatcherService::Refresh() {
+  const auto configuration = this->parts.configuration.Get();
+  const auto fleet = this->parts.fleet.Get();
+  std::map<std::string, WatchedPtr> previous;
+  {
+    const absl::MutexLock lock(&this->mutex);
+    if (this->stopped) {
+      return;
+    }
+    previous = this->watched;
+  }
+  std::map<std::string, WatchedPtr> next;
+  for (const auto& [name, config] : configuration->Databases()) {
+    const std::vector<std::string> watchers = WatchersOf(config, fleet->candidates);
+    const auto self = std::find(watchers.begin(), watchers.end(), this->parts.member);
+    if (self == watchers.end()) {
+      continue;
+    }
+    WatcherAssignment assignment;
+    assignment.rank = static_cast<int>(self - watchers.begin());
+    for (const BackendServerConfig& server : config.backend_servers) {
+      assignment.backend_servers.push_back(server.id);
+    }
+    auto shared = std::shared_ptr<const DatabaseConfig>(configuration, &config);
+    const auto found = previous.find(name);
+    if (found == previous.end()) {
+      next[name] = this->Start(std::move(shared), std::move(assignment));
+      continue;
+    }
+    next[name] = found->second;
+    found->second->context->Run([&] {
+      found->second->config = std::move(shared);
+      found->second->watcher->Reconfigure(std::move(assignment));
+    });
+    previous.erase(found);
+  }
+  for (const auto& entry : previous) {
+    StopOne(entry.second);
+  }
+  const absl::MutexLock lock(&this->mutex);
+  this->watched = std::move(next);
+}
+
+WatcherService::WatchedPtr WatcherService::Start(std::shared_ptr<const DatabaseConfig> config,
+                                                 WatcherAssignment assignment) {
+  auto entry = std::make_shared<Watched>();
+  entry->context = SerialContext::Create(this->parts.loop);
+  WatcherTimings timings;
+  timings.probe_interval = this->parts.probe_interval;
+  const std::string name = config->name;
+  entry->config = std::move(config);
+  entry->watcher = std::make_unique<DatabaseWatcher>(
+      name, this->parts.member, std::move(assignment), this->MakeHooks(name, entry->context),
+      timings, this->parts.loop, *entry->context, this->parts.random);
+  entry->context->Run([&] { entry->watcher->Start(); });
+  this->parts.logger.Info("watch_started", {{"database", name}});
+  return entry;
+}
+
+void WatcherService::StopOne(const WatchedPtr& watched) {
+  watched->context->Run([&] { watched->watcher->Stop(); });
+  watched->context->Close();
+}
+
+std::vector<WatcherService::WatchedPtr> WatcherService::TakeAll() {
+  const absl::MutexLock lock(&this->mutex);
+  this->stopped = true;
+  std::vector<WatchedPtr> all;
+  all.reserve(this->watched.size());
+  for (const auto& entry : this->watched) {
+    all.push_back(entry.second);
+  }
+  this->watched.clear();
+  return all;
+}
+
+void WatcherService::Stop() {
+  for (const WatchedPtr& entry : this->TakeAll()) {
+    StopOne(entry);
+  }
+}
+
+std::string WatcherService::Opinion(const std::string& database) {
+  WatchedPtr entry;
+  {
+    const absl::MutexLock lock(&this->mutex);
+    const auto found = this->watched.find(database);
+    if (found == this->watched.end()) {
+      return "{}";
+    }
+    entry = found->second;
+  }
+  return entry->context->Run([&] { return ToJson(entry->watcher->Opinion()); });
+}
+
+const Endpoint* WatcherService::ControlOf(const std::string& database, const std::string& server,
+                                          std::shared_ptr<const DatabaseConfig>& config) const {
+  config = FindDatabase(this->parts.configuration, database);
+  const BackendServerConfig* found =
+      config == nullptr ? nullptr : config->FindBackendServer(server);
+  return found == nullptr ? nullptr : &found->control;
+}
+
+PromotionHooks WatcherService::MakeControlHooks(const std::string& database,
+                                                const std::shared_ptr<SerialContext>& context) {
+  PromotionHooks hooks;
+  hooks.fence = [this, database, context](const std::string& server, std::uint64_t term,
+                                          const std::string& proposer, auto callback) {
+    std::shared_ptr<const DatabaseConfig> config;
+    if (const Endpoint* control = this->ControlOf(database, server, config)) {
+      this->parts.control.Fence(*control, term, proposer, context->Wrap(std::move(callback)));
+    }
+  };
+  hooks.promote = [this, database, context](const std::string& server, std::uint64_t term,
+                                            const std::string& proposer, auto callback) {
+    std::shared_ptr<const DatabaseConfig> config;
+    if (const Endpoint* control = this->ControlOf(database, server, config)) {
+      this->parts.control.Promote(*control, term, proposer, context->Wrap(std::move(callback)));
+    }
+  };
+  hooks.follow = [this, database, context](const std::string& server, std::uint64_t term,
+                                           const std::string& primary, auto callback) {
+    std::shared_ptr<const DatabaseConfig> config;
+    if (const Endpoint* control = this->ControlOf(database, server, config)) {
+      this->parts.control.Follow(*control, term, primary, context->Wrap(std::move(callback)));
+    }
+  };
+  hooks.status = [this, database, context](const std::string& server, auto callback) {
+    std::shared_ptr<const DatabaseConfig> config;
+    if (const Endpoint* control = this->ControlOf(database, server, config)) {
+      this->parts.control.Status(*control, BackendControl::kCallTimeout,
+                                 context->Wrap(std::move(callback)));
+    }
+  };
+  return hooks;
+}
+
+WatcherHooks WatcherService::MakeHooks(const std::string& database,
+                                       const std::shared_ptr<SerialContext>& context) {
+  WatcherHooks hooks;
+  hooks.control = this->MakeControlHooks(database, context);
+  hooks.probe = [this, database, context](const std::string& server, Duration timeout,
+                                          PromotionHooks::StatusCallback callback) {
+    std::shared_ptr<const DatabaseConfig> config;
+    const Endpoint* control = this->ControlOf(database, server, config);
+    if (control == nullptr) {
+      return;
+    }
+    auto wrapped = context->Wrap(std::move(callback));
+    this->parts.control.Status(
+        *control, timeout, [this, wrapped](const std::optional<BackendServerStatus>& status) {
+          this->parts.metrics.Increment(Metric::kProbes, {status ? "answered" : "failed"});
+          wrapped(status);
+        });
+  };
+  hooks.ask_opinions = [this, database, context](Duration timeout,
+                                                 WatcherHooks::OpinionsCallback callback) {
+    this->AskOpinions(database, timeout, context->Wrap(std::move(callback)));
+  };
+  hooks.is_leaving = [this, database](const std::string& id) {
+    const auto config = FindDatabase(this->parts.configuration, database);
+    const BackendServerConfig* server = config == nullptr ? nullptr : config->FindBackendServer(id);
+    return server != nullptr && IsLeaving(*server, this->parts.leaving);
+  };
+  hooks.on_round = [this, database](const std::vector<BackendServerView>& servers,
+                                    TimePoint round_started) {
+    this->HandleRound(database, servers, round_started);
+  };
+  hooks.on_gap = [this, database](const FailoverGap& gap) { this->HandleGap(database, gap); };
+  return hooks;
+}
+
+void WatcherService::AskOpinions(const std::string& database, Duration timeout,
+                                 WatcherHooks::OpinionsCallback callback) {
+  const auto config = FindDatabase(this->parts.configuration, database);
+  const auto fleet = this->parts.fleet.Get();
+  std::vector<std::string> others;
+  if (config != nullptr) {
+    others = WatchersOf(*config, fleet->candidates);
+    others.erase(std::remove(others.begin(), others.end(), this->parts.member), others.end());
+  }
+  if (others.empty()) {
+    this->parts.loop.Post([callback = std::move(callback)] { callback({}); });
+    return;
+  }
+  auto collection = std::make_shared<Collection>();
+  {
+    const absl::MutexLock lock(&collection->mutex);
+    collection->outstanding = others.size();
+  }
+  const std::string body = nlohmann::json({{"database", database}}).dump();
+  for (const std::string& other : others) {
+    this->parts.call(other, "opinion", body, timeout,
+                     [collection, callback](const PeerAnswer& reply) {
+                       std::vector<WatcherOpinion> all;
+                       {
+                         const absl::MutexLock lock(&collection->mutex);
+                         if (reply.error == PeerError::kNone) {
+                           if (auto opinion = ParseWatcherOpinion(reply.body)) {
+                             collection->opinions.push_back(std::move(*opinion));
+                           }
+                         }
+                         if (--collection->outstanding > 0) {
+                           return;
+                         }
+                         all = collection->opinions;
+                       }
+                       callback(all);
+                     });
+  }
+}
+
+void WatcherService::HandleRound(const std::string& database,
+                                 const std::vector<BackendServerView>& servers,
+                                 TimePoint round_started) {
+  const DatabaseViewPtr known = this->parts.view_table.Get(database);
+  const std::optional<FreshnessProof> previous =
+      known == nullptr ? std::optional<FreshnessProof>() : known->proof;
+  const DatabaseView view = BuildDatabaseView(database, servers, round_started, previous);
+  const BackendServerView* primary = view.Find(view.primary);
+  for (const BackendServerView& server : view.backend_servers) {
+    if (primary != nullptr && primary->status && server.status) {
+      const double lag = static_cast<double>(primary->status->last_index) -
+                         static_cast<double>(server.status->last_index);
+      this->parts.metrics.Set(Metric::kReplicaLag, {server.id}, std::max(lag, 0.0));
+    }
+  }
+  this->parts.views.Offer(view);
+}
+
+void WatcherService::HandleGap(const std::string& database, const FailoverGap& gap) {
+  Metrics& metrics = this->parts.metrics;
+  metrics.Observe(Metric::kFailoverSeconds, {"detection"}, gap.Detection());
+  metrics.Observe(Metric::kFailoverSeconds, {"decision"}, gap.Decision());
+  metrics.Observe(Metric::kFailoverSeconds, {"promotion"}, gap.PromotionTime());
+  metrics.Increment(Metric::kPromotions, {database, std::string(ToString(gap.cause))});
+  this->parts.logger.Info("promoted", {{"database", database},
+                                       {"primary", gap.primary},
+                                       {"term", absl::StrCat(gap.term)},
+                                       {"cause", std::string(ToString(gap.cause))},
+                                       {"attempts", absl::StrCat(gap.attempts)},
+                                       {"detection_ms", Milliseconds(gap.Detection())},
+                                       {"decision_ms", Milliseconds(gap.Decision())},
+                                       {"promotion_ms", Milliseconds(gap.PromotionTime())}});
+}
+
+}  // namespace sycamoredrum
--- a/src/routing/read_router.cc
+++ b/src/routing/read_router.cc
@@ -48,7 +48,10 @@
   const bool follows_primary = !view.primary.empty() && status.follows == view.primary &&
                                status.term == view.term && status.promised_term == view.term;
   const bool stream_alive = status.primary_silence && *status.primary_silence <= wait;
-  if (!follows_primary || !stream_alive) {
+  // A tail of a lower term will be truncated; how far is not known.
+  const bool must_truncate =
+      status.LastPosition().term < require.term && status.last_index >= require.index;
+  if (!follows_primary || !stream_alive || must_truncate) {
     return false;
   }
   const Duration since_observed = this->clock.Now() - server.observed_at;
--- a/src/routing/read_router_test.cc
+++ b/src/routing/read_router_test.cc
@@ -109,9 +109,14 @@
        "lrp", none},
       {"other history",
        [](Setup& t) {
-         t.At("l").status->history = TermHistory({{1, 1}});
+         t.At("l").status->history = TermHistory({{1, 1}, {3, 4000}});
        },
        "rp", none},
+      {"tail of a lower term",
+       [](Setup& t) {
+         t.At("l").status->history = TermHistory({{1, 1}});
+       },
+       "rpl", none},
       {"local leaves", [](Setup& t) { t.config.backend_servers[1].leaving = true; }, "rp", none},
       {"primary leaves", [](Setup& t) { t.config.backend_servers[0].leaving = true; }, "lrp", none},
       {"replicas removed", [](Setup& t) { t.config.backend_servers.resize(1); }, "p", no_replica},
