Build only the needed programs for the runs under sanitizers

Cause: the sanitizer builds compiled the whole tree although they run only some tests. Change: targets unit_tests and concurrent_tests; one lint finding in the fleet fixed.

--- a/cmake/SycamoredrumTargets.cmake
+++ b/cmake/SycamoredrumTargets.cmake
@@ -8,6 +8,10 @@
   target_link_libraries(sd_${name} PUBLIC ${ARG_DEPENDS} Threads::Threads)
 endfunction()
 
+# Programs that the runs under sanitizers need, so that these runs do not build the rest.
+add_custom_target(unit_tests)
+add_custom_target(concurrent_tests)
+
 # Defines a GoogleTest program. Labels select the runs under sanitizers: "process" tests start
 # real processes, "concurrent" tests run under ThreadSanitizer.
 # sycamoredrum_test(NAME SOURCES file... DEPENDS target... LABELS label...)
@@ -18,4 +22,10 @@
   target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} GTest::gmock GTest::gtest GTest::gtest_main)
   add_test(NAME ${name} COMMAND ${name})
   set_tests_properties(${name} PROPERTIES TIMEOUT 300 LABELS "${ARG_LABELS}")
+  if(NOT "process" IN_LIST ARG_LABELS)
+    add_dependencies(unit_tests ${name})
+  endif()
+  if("concurrent" IN_LIST ARG_LABELS)
+    add_dependencies(concurrent_tests ${name})
+  endif()
 endfunction()
--- a/testsuite/support/fleet.cc
+++ b/testsuite/support/fleet.cc
@@ -69,7 +69,9 @@
       server.database = database;
       server.data_centre = data_centre;
       server.host = this->Host(number++);
-      this->backend_servers[database + "-" + data_centre] = std::move(server);
+      std::string id = database;
+      id.append("-").append(data_centre);
+      this->backend_servers[id] = std::move(server);
     }
   }
   const int count =
