Allow a ticket to change a database's group by one server only

Cause: a ticket could replace a majority of a database's backend servers. Proxies take over a ticket at different times, so a promoter with the old group and one with the new group could obtain majorities without a common server, and promote two primaries for one term.

Change: ValidateAgainst counts the servers that a ticket adds to and removes from an existing database and adds a finding if there are more than one in total. A server that keeps its id but moves to another VM or control endpoint counts as another server; other fields may change freely.

Conclusion: a group can be replaced only one server at a time. The check compares with the preceding ticket; a proxy that is two or more tickets behind is not covered by it.

--- a/src/config/ticket_check.cc
+++ b/src/config/ticket_check.cc
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <set>
+#include <tuple>
 
 #include "sycamoredrum/ticket.h"
 
@@ -78,6 +79,45 @@
   }
 }
 
+// Majorities are counted over servers reached at their control ports. A server that keeps its id
+// but moves to another VM or control port may lack the old one's promises and log, so it counts as
+// another server.
+bool IsSameServer(const BackendServerConfig& a, const BackendServerConfig& b) {
+  return std::tie(a.id, a.vm, a.control) == std::tie(b.id, b.vm, b.control);
+}
+
+std::size_t CountServersOnlyIn(const DatabaseConfig& database, const DatabaseConfig& other) {
+  std::size_t count = 0;
+  for (const BackendServerConfig& server : database.backend_servers) {
+    const BackendServerConfig* same_id = other.FindBackendServer(server.id);
+    count += same_id == nullptr || !IsSameServer(server, *same_id) ? 1 : 0;
+  }
+  return count;
+}
+
+// Proxies take over a ticket at different times. A majority of the old group and one of the new
+// group must share a server, or two promoters can both obtain a majority for one term.
+void CheckGroupChanges(const Ticket& ticket, const Configuration& configuration,
+                       Findings& findings) {
+  for (std::size_t i = 0; i < ticket.databases.size(); ++i) {
+    const DatabaseConfig& next = ticket.databases[i];
+    const DatabaseConfig* before = configuration.FindDatabase(next.name);
+    if (before == nullptr) {
+      continue;
+    }
+    const std::size_t added = CountServersOnlyIn(next, *before);
+    const std::size_t removed = CountServersOnlyIn(*before, next);
+    if (added + removed > 1) {
+      findings.Add(
+          absl::StrCat("databases[", i, "].backend_servers"),
+          absl::StrCat("adds ", added, " and removes ", removed,
+                       " servers (a server with another vm or control address is another server); "
+                       "a ticket may add or remove one, because majorities of the old and the new "
+                       "group must intersect"));
+    }
+  }
+}
+
 void CheckReferences(const Ticket& ticket, const Configuration& next, Findings& findings) {
   for (std::size_t i = 0; i < ticket.caller_groups.size(); ++i) {
     const CallerGroupConfig& group = ticket.caller_groups[i];
@@ -129,6 +169,7 @@
     CheckUnused(in_use.tokens, ticket.caller_groups[i].token_sha256,
                 absl::StrCat("caller_groups[", i, "].token_sha256"), "caller group", findings);
   }
+  CheckGroupChanges(ticket, configuration, findings);
   CheckRemovals(ticket, configuration, findings);
   CheckReferences(ticket, configuration.With(ticket), findings);
 }
--- a/src/config/ticket_test.cc
+++ b/src/config/ticket_test.cc
@@ -160,6 +160,55 @@
               HasSubstr("databases[0].backend_servers[0].id: is already used by database"));
 }
 
+// Guards against a change of a group after which the old and the new group have majorities without
+// a common server, so that two proxies could promote two primaries in one term.
+TEST(TicketTest, AGroupChangesByOneServer) {
+  const Configuration configuration = Configuration().With(ParseValid(Example().dump()));
+  const std::string added =
+      R"({"op":"add","path":"/-","value":{"id":"orders-4","vm":"v4","data_centre":"mumbai",)"
+      R"("statements":"10.20.1.44:7001","control":"10.20.1.44:7002"}})";
+  const std::string added_too =
+      R"({"op":"add","path":"/-","value":{"id":"orders-5","vm":"v5","data_centre":"mumbai",)"
+      R"("statements":"10.20.1.45:7001","control":"10.20.1.45:7002"}})";
+  const std::string removed = R"({"op":"remove","path":"/0"})";
+  const std::string other_cap = R"({"op":"replace","path":"/1/connection_cap","value":30})";
+  const std::string other_vm = R"({"op":"replace","path":"/1/vm","value":"other"})";
+  const std::string other_control =
+      R"({"op":"replace","path":"/1/control","value":"10.20.2.99:7002"})";
+  const std::string other_statements =
+      R"({"op":"replace","path":"/1/statements","value":"10.20.2.10:7003"})";
+  const std::vector<std::pair<std::vector<std::string>, std::string>> cases = {
+      {{added}, ""},
+      {{removed}, ""},
+      {{other_cap, other_statements}, ""},
+      {{other_cap, added}, ""},
+      {{added, removed}, "adds 1 and removes 1 servers"},
+      {{added, added_too}, "adds 2 and removes 0 servers"},
+      {{removed, removed}, "adds 0 and removes 2 servers"},
+      {{other_vm}, "adds 1 and removes 1 servers"},
+      {{other_control}, "adds 1 and removes 1 servers"},
+  };
+  for (const auto& [operations, finding] : cases) {
+    nlohmann::json patch = nlohmann::json::array();
+    for (const std::string& operation : operations) {
+      patch.push_back(nlohmann::json::parse(operation));
+    }
+    nlohmann::json database = Example()["databases"][0];
+    database["backend_servers"] = database["backend_servers"].patch(patch);
+    database["acknowledge_copies"] = 1;  // Also valid for the group with one server.
+    const nlohmann::json json = {
+        {"number", 2}, {"id", "second"}, {"author", "a"}, {"databases", {database}}};
+    Findings findings;
+    ValidateAgainst(ParseValid(json.dump()), configuration, findings);
+    if (finding.empty()) {
+      EXPECT_EQ(findings.ToString(), "") << patch;
+    } else {
+      EXPECT_THAT(findings.ToString(), HasSubstr("databases[0].backend_servers: " + finding));
+      EXPECT_THAT(findings.ToString(), HasSubstr("majorities of the old and the new group"));
+    }
+  }
+}
+
 // Guards against a change that the operator does not see, and against tokens in the output.
 TEST(TicketTest, DiffShowsOnlyWhatChanges) {
   const Configuration configuration = Configuration().With(ParseValid(Example().dump()));
--- a/src/include/sycamoredrum/ticket.h
+++ b/src/include/sycamoredrum/ticket.h
@@ -49,8 +49,10 @@
 std::string SerializeTicket(const Ticket& ticket);
 
 /// Adds the problems that `ticket` would cause as the next ticket after `configuration`: a wrong
-/// number, references to databases that would not exist, removal of objects that do not exist, and
-/// ids, endpoints or tokens that two objects would share.
+/// number, references to databases that would not exist, removal of objects that do not exist, ids,
+/// endpoints or tokens that two objects would share, and a change of the backend servers of an
+/// existing database by more than one server (added or removed; a server with another id, VM or
+/// control endpoint is another server).
 void ValidateAgainst(const Ticket& ticket, const Configuration& configuration, Findings& findings);
 
 /// Readable lines that say what `ticket` changes in `configuration`, in the order of the ticket.
