Add the operators' commands check, status, route, drain and ticket diff, show and list

Cause: operators could only start a proxy and apply a ticket; a refused ticket showed one side of a conflict, and a ticket path that names a folder ended the process with an uncaught exception.

Change: one file for each command. A conflict shows what the accepted and the refused ticket change in the same configuration. Unknown flags of check are reported together.

Measured: the table of 47 bad inputs runs the real binary against a fleet of one proxy and one database, and compares the accepted tickets, readiness and the number in force before and after each row.

--- /dev/null
+++ b/src/sycamoredrum/admin_call.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <string>
+
+#include "sycamoredrum/types.h"
+
+namespace sycamoredrum {
+
+enum class AdminCallStatus {
+  kAnswered,     ///< The proxy answered; its HTTP status is not an error.
+  kRefused,      ///< The proxy answered with an error.
+  kUnreachable,  ///< Nothing was sent.
+  kUnknown,      ///< The call may have been received; there is no complete answer.
+};
+
+struct AdminCallResult {
+  AdminCallStatus status = AdminCallStatus::kUnknown;
+  std::string body;     ///< kAnswered: JSON text.
+  std::string message;  ///< Otherwise: one line for the operator, starting with the address.
+};
+
+/// Calls the admin port of a proxy and waits for the answer, at most 5 s.
+AdminCallResult CallAdmin(const Endpoint& proxy, const std::string& method,
+                          const std::string& target);
+
+/// Exit code for a result, as in commands.h.
+int ExitCodeOf(AdminCallStatus status);
+
+}  // namespace sycamoredrum
--- a/src/sycamoredrum/command_ticket.cc
+++ b/src/sycamoredrum/command_ticket.cc
@@ -1,78 +1,23 @@
+#include <absl/strings/numbers.h>
 #include <fmt/format.h>
 
-#include <boost/program_options.hpp>
 #include <cstdio>
-#include <fstream>
-#include <future>
-#include <iterator>
+#include <nlohmann/json.hpp>
 #include <optional>
 
+#include "command_line.h"
 #include "commands.h"
-#include "sycamoredrum/configuration_log.h"
-#include "sycamoredrum/event_loop.h"
-#include "sycamoredrum/platform_http.h"
+#include "platform_access.h"
 #include "sycamoredrum/ticket.h"
-#include "sycamoredrum/ticket_writer.h"
+#include "text_table.h"
+#include "ticket_file.h"
 
 namespace sycamoredrum {
 namespace {
 
-namespace options = boost::program_options;
+using nlohmann::json;
 
-std::optional<std::string> ReadFile(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  if (!file) {
-    return std::nullopt;
-  }
-  return std::string(std::istreambuf_iterator<char>(file), {});
-}
-
-// Serialises the answers of the platform for the writer, which is not thread-safe.
-PlatformClient SerialClient(PlatformClient platform, std::mutex& mutex) {
-  PlatformClient serial;
-  serial.get = [platform, &mutex](const std::string& key, PlatformClient::GetCallback callback) {
-    platform.get(key, [&mutex, callback](PlatformStatus status, std::optional<KeyValue> item) {
-      const std::lock_guard<std::mutex> lock(mutex);
-      callback(status, std::move(item));
-    });
-  };
-  serial.put = [platform, &mutex](const std::string& key, const std::string& value,
-                                  std::uint64_t expected_revision,
-                                  PlatformClient::PutCallback callback) {
-    platform.put(key, value, expected_revision,
-                 [&mutex, callback](PlatformStatus status, std::uint64_t revision) {
-                   const std::lock_guard<std::mutex> lock(mutex);
-                   callback(status, revision);
-                 });
-  };
-  serial.list = [platform, &mutex](const std::string& prefix, const std::string& after, int limit,
-                                   PlatformClient::ListCallback callback) {
-    platform.list(prefix, after, limit,
-                  [&mutex, callback](PlatformStatus status, std::vector<KeyValue> items) {
-                    const std::lock_guard<std::mutex> lock(mutex);
-                    callback(status, std::move(items));
-                  });
-  };
-  return serial;
-}
-
-WriteResult WriteTicket(const Ticket& ticket, const Endpoint& platform) {
-  // One worker: timers and answers of the writer run one at a time.
-  EventLoop loop(1);
-  HttpClient client(loop, HttpClientOptions());
-  std::mutex mutex;
-  ConfigurationLog log;
-  const auto ignore = [](const std::string&, const std::string&) {};
-  TicketWriter writer(SerialClient(MakePlatformClient(client, platform, ignore), mutex), log, loop);
-  std::promise<WriteResult> promise;
-  loop.Post([&] {
-    writer.Write(ticket, [&](WriteResult result) { promise.set_value(std::move(result)); });
-  });
-  WriteResult result = promise.get_future().get();
-  loop.Stop();
-  loop.Join();
-  return result;
-}
+constexpr int kJsonIndent = 2;
 
 int ExitCodeOf(WriteStatus status) {
   switch (status) {
@@ -91,65 +36,184 @@
   return kExitFailure;
 }
 
-int Apply(const std::string& path, const Endpoint& platform) {
-  const std::optional<std::string> text = ReadFile(path);
-  if (!text) {
-    fmt::print(stderr, "{}: cannot be read\n", path);
-    return kExitUsage;
+void PrintSide(const char* side, const Ticket& ticket, const std::vector<std::string>& lines) {
+  fmt::print(stderr, "  {} ticket {} \"{}\" of {}:\n", side, ticket.number, ticket.id,
+             ticket.author);
+  for (const std::string& line : lines) {
+    fmt::print(stderr, "    {}\n", line);
   }
+}
+
+// Shows what the accepted ticket and the refused one change in the configuration before them.
+void PrintBothSides(const Ticket& accepted, const Ticket& refused, const ConfigurationLog& log) {
+  const Configuration before = log.FoldTo(accepted.number - 1);
+  PrintSide("accepted", accepted, DiffTicket(accepted, before));
+  PrintSide("refused", refused, DiffTicket(refused, before));
+  fmt::print(stderr, "  the next number is {}\n", log.Number() + 1);
+}
+
+void PrintFindings(const std::string& path, const Findings& findings) {
+  for (const Finding& finding : findings.Items()) {
+    fmt::print(stderr, "{}: {}: {}\n", path, finding.place, finding.reason);
+  }
+}
+
+int Apply(const std::string& path, PlatformAccess& platform, bool as_json) {
   Findings findings;
-  const std::optional<Ticket> ticket = ParseTicket(*text, findings);
+  const std::optional<Ticket> ticket = ReadTicketFile(path, findings);
   if (!ticket) {
-    fmt::print(stderr, "{}: the ticket is invalid\n{}\n", path, findings.ToString());
+    fmt::print(stderr, "{}\n", findings.ToString());
     return kExitUsage;
   }
-  const WriteResult result = WriteTicket(*ticket, platform);
+  const WriteResult result = platform.Write(*ticket);
   const bool accepted = result.status == WriteStatus::kAccepted;
-  fmt::print(accepted ? stdout : stderr, "{}: {}\n", ToString(result.status), result.message);
-  for (const std::string& line : result.winner_lines) {
-    fmt::print(stderr, "  {}\n", line);
+  if (as_json) {
+    const json text = {{"status", std::string(ToString(result.status))},
+                       {"number", ticket->number},
+                       {"message", result.message}};
+    fmt::print("{}\n", text.dump());
+  } else if (accepted) {
+    fmt::print("{}: {}\n", ToString(result.status), result.message);
   }
-  if (!result.findings.Empty()) {
-    fmt::print(stderr, "{}\n", result.findings.ToString());
+  if (!accepted) {
+    fmt::print(stderr, "{}: {}: {}\n", path, ToString(result.status), result.message);
   }
+  if (result.winner) {
+    PrintBothSides(*result.winner, *ticket, platform.Log());
+  }
+  PrintFindings(path, result.findings);
   return ExitCodeOf(result.status);
 }
 
-}  // namespace
-
-int RunTicketCommand(const std::vector<std::string>& arguments) {
-  options::options_description flags("Flags");
-  flags.add_options()("platform-address", options::value<std::string>(),
-                      "IP:PORT of the platform's key-value service");
-  options::options_description all;
-  all.add(flags).add_options()("words", options::value<std::vector<std::string>>());
-  options::positional_options_description positions;
-  positions.add("words", -1);
-  if (WantsHelp(arguments)) {
-    fmt::print("Usage: sycamoredrum ticket apply FILE --platform-address=IP:PORT\n\n");
+int Show(const std::string& number_text, const ConfigurationLog& log, bool as_json) {
+  std::uint64_t number = 0;
+  if (!absl::SimpleAtoi(number_text, &number) || number == 0) {
+    fmt::print(stderr, "NUMBER: \"{}\" is not a ticket number\n", number_text);
+    return kExitUsage;
+  }
+  const std::optional<Ticket> ticket = log.FindTicket(number);
+  if (!ticket) {
+    fmt::print(stderr, "ticket {} does not exist; the highest accepted number is {}\n", number,
+               log.Number());
+    return kExitFailure;
+  }
+  if (as_json) {
+    fmt::print("{}\n", json::parse(SerializeTicket(*ticket)).dump(kJsonIndent));
     return kExitOk;
   }
-  try {
-    options::variables_map values;
-    options::store(options::command_line_parser(arguments).options(all).positional(positions).run(),
-                   values);
-    const auto words = values.count("words") != 0 ? values["words"].as<std::vector<std::string>>()
-                                                  : std::vector<std::string>();
-    const auto platform = Endpoint::Parse(
-        values.count("platform-address") != 0 ? values["platform-address"].as<std::string>() : "");
-    if (!platform) {
-      fmt::print(stderr, "--platform-address: must be an address of the form IP:PORT\n");
-      return kExitUsage;
-    }
-    if (words.size() != 2 || words[0] != "apply") {
-      fmt::print(stderr, "usage: sycamoredrum ticket apply FILE --platform-address=IP:PORT\n");
-      return kExitUsage;
+  fmt::print("ticket {} \"{}\" of {}\n", ticket->number, ticket->id, ticket->author);
+  for (const std::string& line : DiffTicket(*ticket, log.FoldTo(number - 1))) {
+    fmt::print("  {}\n", line);
+  }
+  return kExitOk;
+}
+
+int List(const ConfigurationLog& log, bool as_json) {
+  json list = json::array();
+  TextTable table({"NUMBER", "ID", "AUTHOR", "DATABASES", "CALLER GROUPS", "REMOVED"});
+  for (std::uint64_t number = 1; number <= log.Number(); ++number) {
+    const std::optional<Ticket> ticket = log.FindTicket(number);
+    if (!ticket) {
+      continue;
     }
-    return Apply(words[1], *platform);
-  } catch (const options::error& error) {
-    fmt::print(stderr, "command line: {}\n", error.what());
+    const std::size_t removed =
+        ticket->removed_databases.size() + ticket->removed_caller_groups.size();
+    table.AddRow({std::to_string(number), ticket->id, ticket->author,
+                  std::to_string(ticket->databases.size()),
+                  std::to_string(ticket->caller_groups.size()), std::to_string(removed)});
+    list.push_back({{"number", number},
+                    {"id", ticket->id},
+                    {"author", ticket->author},
+                    {"databases", ticket->databases.size()},
+                    {"caller_groups", ticket->caller_groups.size()},
+                    {"removed", removed}});
+  }
+  fmt::print("{}", as_json ? list.dump() + "\n" : table.ToString());
+  return kExitOk;
+}
+
+void PrintChanges(const Ticket& ticket, const Configuration& before, const Findings& findings,
+                  bool as_json) {
+  const std::vector<std::string> lines = DiffTicket(ticket, before);
+  if (as_json) {
+    const json text = {{"number", ticket.number}, {"changes", lines}, {"valid", findings.Empty()}};
+    fmt::print("{}\n", text.dump());
+    return;
+  }
+  for (const std::string& line : lines) {
+    fmt::print("{}\n", line);
+  }
+}
+
+int Diff(const std::string& path, const ConfigurationLog& log, bool as_json) {
+  Findings findings;
+  const std::optional<Ticket> ticket = ReadTicketFile(path, findings);
+  if (!ticket) {
+    fmt::print(stderr, "{}\n", findings.ToString());
     return kExitUsage;
   }
+  const std::optional<Ticket> accepted = log.FindTicket(ticket->number);
+  if (accepted && *accepted != *ticket) {
+    fmt::print(stderr, "{}: conflict: number {} is taken\n", path, ticket->number);
+    PrintBothSides(*accepted, *ticket, log);
+    return kExitConflict;
+  }
+  const Configuration before = accepted ? log.FoldTo(ticket->number - 1) : *log.Current();
+  ValidateAgainst(*ticket, before, findings);
+  const std::uint64_t same_id = accepted ? 0 : log.FindNumberOfId(ticket->id);
+  if (same_id != 0) {
+    findings.Add("id", fmt::format("is already used by ticket {}", same_id));
+  }
+  PrintChanges(*ticket, before, findings, as_json);
+  PrintFindings(path, findings);
+  return findings.Empty() ? kExitOk : kExitUsage;
+}
+
+bool IsKnown(const std::vector<std::string>& words) {
+  const std::string action = words.empty() ? "" : words[0];
+  const bool takes_word = action == "apply" || action == "show" || action == "diff";
+  return (takes_word && words.size() == 2) || (action == "list" && words.size() == 1);
+}
+
+int Run(const std::vector<std::string>& words, PlatformAccess& platform, bool as_json) {
+  if (words[0] == "apply") {
+    return Apply(words[1], platform, as_json);
+  }
+  if (!platform.ReadTickets()) {
+    fmt::print(stderr, "{}\n", platform.LastReason());
+    return kExitFailure;
+  }
+  if (words[0] == "show") {
+    return Show(words[1], platform.Log(), as_json);
+  }
+  if (words[0] == "diff") {
+    return Diff(words[1], platform.Log(), as_json);
+  }
+  return List(platform.Log(), as_json);
+}
+
+}  // namespace
+
+int RunTicketCommand(const std::vector<std::string>& arguments) {
+  CommandLine line(
+      "ticket (apply FILE | diff FILE | show NUMBER | list) --platform-address=IP:PORT [--json]",
+      "apply gets a ticket accepted; diff shows what it would change and checks it; show and list "
+      "show accepted tickets.");
+  line.AddText("platform-address", "Address of the platform's key-value service")
+      .AddSwitch("json", "Print JSON");
+  if (const std::optional<int> exit_code = line.Parse(arguments)) {
+    return *exit_code;
+  }
+  Findings findings;
+  const Endpoint endpoint = line.Address("platform-address", findings);
+  if (!IsKnown(line.Words())) {
+    findings.Add("command line", "expects apply FILE, diff FILE, show NUMBER or list");
+  }
+  if (!findings.Empty()) {
+    return line.ReportUsage(findings);
+  }
+  PlatformAccess platform(endpoint);
+  return Run(line.Words(), platform, line.Has("json"));
 }
 
 }  // namespace sycamoredrum
--- a/src/sycamoredrum/main.cc
+++ b/src/sycamoredrum/main.cc
@@ -17,15 +17,14 @@
   std::function<int(const std::vector<std::string>&)> run;
 };
 
-int RunVersionCommand(const std::vector<std::string>&) {
-  fmt::print("sycamoredrum {}\n", SYCAMOREDRUM_VERSION);
-  return kExitOk;
-}
-
 const std::vector<Command>& CommandTable() {
   static const std::vector<Command> table = {
       {"proxy", "Runs the proxy daemon", RunProxyCommand},
-      {"ticket", "Applies and shows change tickets", RunTicketCommand},
+      {"check", "Checks settings and a ticket file without starting anything", RunCheckCommand},
+      {"ticket", "Applies, compares, shows and lists change tickets", RunTicketCommand},
+      {"status", "Shows the state of proxies", RunStatusCommand},
+      {"route", "Shows where a caller group's requests go", RunRouteCommand},
+      {"drain", "Starts the graceful shutdown of a proxy", RunDrainCommand},
       {"version", "Prints the version", RunVersionCommand},
   };
   return table;
@@ -36,6 +35,7 @@
   for (const Command& command : CommandTable()) {
     fmt::print(output, "  {:<10} {}\n", command.name, command.help);
   }
+  fmt::print(output, "  {:<10} {}\n", "help", "Prints this text");
   fmt::print(output, "\n\"sycamoredrum COMMAND --help\" describes a command.\n");
 }
 
--- /dev/null
+++ b/testsuite/command_line/command_run.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "fleet.h"
+
+namespace sycamoredrum {
+
+/// What a run of the binary left behind.
+struct CommandRun {
+  int exit_code = -1;  ///< -1 if it did not end in time.
+  std::string output;
+  std::string errors;
+};
+
+/// Runs the real binary with files in `folder`, and waits for its end.
+CommandRun RunBinary(const std::vector<std::string>& arguments,
+                     const std::vector<std::string>& environment, const std::string& folder);
+
+/// 1 data centre, 1 proxy and 1 database with 1 backend server.
+FleetOptions SmallFleet();
+
+/// Writes a file in `folder` and returns its path.
+std::string WriteFile(const std::string& folder, const std::string& name, const std::string& text);
+
+}  // namespace sycamoredrum
