--- a/testsuite/command_line/commands_test.cc
+++ b/testsuite/command_line/commands_test.cc
@@ -1,5 +1,6 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
+#include <signal.h>
 
 #include <nlohmann/json.hpp>
 
@@ -74,6 +75,26 @@
   EXPECT_EQ(fleet.ProxyProcess(0).Wait(seconds(20)), 0);
 }
 
+// Guards against a command that reports success or failure although the answer was lost.
+TEST(CommandsTest, LostAnswersAreNotFailures) {
+  Fleet fleet(SmallFleet());
+  fleet.Start();
+  const std::string admin = "--admin-address=" + fleet.AdminAddress(0).ToString();
+  const std::string platform = "--platform-address=" + fleet.PlatformAddress().ToString();
+  const std::string path =
+      WriteFile(fleet.Folder(), "second.json", fleet.Ticket(2, "second").dump());
+  fleet.Switch(fleet.PlatformAddress(), "lose-answers", {{"count", 1}});
+  const CommandRun apply = RunBinary({"ticket", "apply", path, platform}, {}, fleet.Folder());
+  EXPECT_EQ(apply.exit_code, 0) << apply.errors;
+
+  fleet.ProxyProcess(0).Signal(SIGSTOP);
+  const CommandRun drain = RunBinary({"drain", admin}, {}, fleet.Folder());
+  EXPECT_EQ(drain.exit_code, 4) << drain.errors;
+  EXPECT_THAT(drain.errors, HasSubstr(fleet.AdminAddress(0).ToString() + ": gave no complete"));
+  fleet.ProxyProcess(0).Signal(SIGCONT);
+  EXPECT_EQ(fleet.ProxyProcess(0).Wait(seconds(20)), 0);
+}
+
 // Guards against a check that refuses the settings that a proxy runs with.
 TEST(CommandsTest, CheckAcceptsValidSettings) {
   const CommandRun run = RunBinary(
