Add a history checker and callers under load for process tests

Cause: process tests had no common way to show that a history of reads and writes through several proxies keeps the guarantees.

Change: CheckHistory checks recorded attempts and the final values of the primary against six rules: no stale own read, no lost acknowledged write, no request id run twice, no effect of a write that was not run, no partial transaction, no foreign answer. Load runs callers as threads that write and read through changing proxies and record every attempt. Balancer follows /readyz. Fleet gets CallerCall, ActingPrimary, Value and BackendServers.

Conclusion: process tests can state their result as "no violations".

--- a/testsuite/support/fleet.cc
+++ b/testsuite/support/fleet.cc
@@ -69,7 +69,10 @@
       server.database = database;
       server.data_centre = data_centre;
       server.host = this->Host(number++);
-      this->backend_servers[database + "-" + data_centre] = std::move(server);
+      std::string id = database;
+      id += "-";
+      id += data_centre;
+      this->backend_servers[id] = std::move(server);
     }
   }
   const int count =
@@ -207,11 +210,16 @@
 }
 
 CallerAnswer Fleet::Execute(int proxy, const std::string& database, const json& body,
-                            HttpHeaders headers) {
+                            HttpHeaders headers, milliseconds timeout) {
+  return this->CallerCall(proxy, "/v1/databases/" + database + "/execute", body, std::move(headers),
+                          timeout);
+}
+
+CallerAnswer Fleet::CallerCall(int proxy, const std::string& target, const json& body,
+                               HttpHeaders headers, milliseconds timeout) {
   headers.push_back(HttpHeader{"Authorization", std::string("Bearer ") + kToken});
-  const HttpResult result =
-      this->Call(this->CallerAddress(proxy), "POST", "/v1/databases/" + database + "/execute",
-                 body.dump(), std::move(headers));
+  const HttpResult result = this->Call(this->CallerAddress(proxy), "POST", target, body.dump(),
+                                       std::move(headers), timeout);
   CallerAnswer answer;
   answer.outcome = result.error == HttpError::kNotSent ? "not_run" : "unknown";
   if (result.Ok()) {
@@ -242,6 +250,56 @@
   return "";
 }
 
+std::vector<std::string> Fleet::BackendServers(const std::string& database) const {
+  std::vector<std::string> ids;
+  for (const auto& [id, server] : this->backend_servers) {
+    if (server.database == database) {
+      ids.push_back(id);
+    }
+  }
+  return ids;
+}
+
+std::string Fleet::ActingPrimary(const std::string& database, milliseconds limit) {
+  std::string primary;
+  WaitUntil(
+      [&] {
+        std::uint64_t highest = 0;
+        primary.clear();
+        for (const std::string& id : this->BackendServers(database)) {
+          const HttpResult result =
+              this->Call(this->ControlAddress(id), "GET", "/v1/status", "", {}, seconds(1));
+          const json status = json::parse(result.response.body, nullptr, false);
+          if (!result.Ok() || !status.is_object()) {
+            continue;
+          }
+          const auto promised = status.value("promised_term", std::uint64_t{0});
+          const bool acts = status.value("role", "") == "primary" &&
+                            status.value("term", std::uint64_t{0}) == promised;
+          if (promised > highest) {
+            highest = promised;
+            primary.clear();
+          }
+          if (acts && promised == highest) {
+            primary = id;
+          }
+        }
+        return !primary.empty();
+      },
+      limit);
+  return primary;
+}
+
+std::string Fleet::Value(const std::string& backend_server, const std::string& key) {
+  const HttpResult result = this->Call(this->ControlAddress(backend_server), "GET",
+                                       "/test/value?key=" + PercentEncode(key));
+  if (!result.Ok() || (result.response.status != 200 && result.response.status != 404)) {
+    throw std::runtime_error("cannot read a value of " + backend_server);
+  }
+  const json body = json::parse(result.response.body, nullptr, /*allow_exceptions=*/false);
+  return body.is_object() ? body.value("value", "") : "";
+}
+
 void Fleet::Switch(const Endpoint& stand_in, const std::string& name, const json& body) {
   const HttpResult result = this->Call(stand_in, "POST", "/test/" + name, body.dump());
   if (!result.Ok() || result.response.status != 200) {
--- a/testsuite/support/fleet.h
+++ b/testsuite/support/fleet.h
@@ -71,7 +71,13 @@
 
   /// Runs statements through a proxy. `headers` may hold an Idempotency-Key or a session.
   CallerAnswer Execute(int proxy, const std::string& database, const nlohmann::json& body,
-                       HttpHeaders headers = {});
+                       HttpHeaders headers = {},
+                       std::chrono::milliseconds timeout = std::chrono::seconds(10));
+
+  /// One call to the callers' port with the bearer token of the first ticket's group.
+  CallerAnswer CallerCall(int proxy, const std::string& target, const nlohmann::json& body,
+                          HttpHeaders headers = {},
+                          std::chrono::milliseconds timeout = std::chrono::seconds(10));
 
   /// JSON of the operators' status of a proxy, or null.
   nlohmann::json Status(int proxy);
@@ -79,6 +85,17 @@
   /// Primary of a database as a proxy sees it, or an empty text.
   std::string Primary(int proxy, const std::string& database);
 
+  /// Waits until one backend server of the database acts as primary in the highest term and
+  /// returns its id, or an empty text after `limit`.
+  std::string ActingPrimary(const std::string& database, std::chrono::milliseconds limit);
+
+  /// Committed value of a key on a backend server; empty if it has none. Throws
+  /// std::runtime_error if the server does not answer.
+  std::string Value(const std::string& backend_server, const std::string& key);
+
+  /// Ids of the backend servers of a database.
+  std::vector<std::string> BackendServers(const std::string& database) const;
+
   /// Sets a test switch of a stand-in, for example Switch(PlatformAddress(), "outage", {{"on",
   /// 1}}).
   void Switch(const Endpoint& stand_in, const std::string& name, const nlohmann::json& body);
--- /dev/null
+++ b/testsuite/support/load.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "fleet.h"
+#include "history.h"
+
+namespace sycamoredrum {
+
+/// What the callers of a Load do. Each caller writes, then reads its own key through another proxy.
+struct LoadOptions {
+  std::string database = "orders";
+  std::string name = "c";  ///< Start of all keys and request ids; unique in a test.
+  int callers = 6;
+  int max_attempts = 4;                     ///< Attempts of a write, all with the same request id.
+  std::chrono::milliseconds pause{5};       ///< Between two requests of a caller.
+  std::chrono::milliseconds timeout{3000};  ///< For one attempt. Longer than the deadline of 2 s.
+  /// Optional. False: callers do not send new requests to the proxy, as behind a balancer.
+  std::function<bool(int proxy)> may_use;
+};
+
+/// Callers that run as threads from the construction to Stop and record what they see.
+class Load {
+ public:
+  Load(Fleet& fleet, LoadOptions options);
+  ~Load();
+  Load(const Load&) = delete;
+  Load& operator=(const Load&) = delete;
+
+  /// Lets requests in progress end and joins the threads.
+  void Stop();
+
+  int Acknowledged() const { return this->acknowledged; }
+
+  /// Waits until `count` further writes were acknowledged; returns false after `limit`.
+  bool WaitForWrites(int count, std::chrono::milliseconds limit) const;
+
+  /// Waits until a write that started at or after `from` is acknowledged. Returns the time from
+  /// `from` to its answer, or nothing after `limit`.
+  std::optional<std::chrono::milliseconds> GapAfter(std::chrono::steady_clock::time_point from,
+                                                    std::chrono::milliseconds limit) const;
+
+  /// All attempts so far.
+  std::vector<Attempt> Attempts() const;
+
+  /// Checks the history against the values that the backend server `primary` holds. After Stop.
+  std::vector<Violation> Check(const std::string& primary) const;
+
+ private:
+  struct Caller {
+    int number = 0;
+    int requests = 0;
+    bool unconfirmed = false;  ///< The last write got no answer.
+    std::string session;
+  };
+
+  void Run(int number);
+  void Write(Caller& caller, int number);
+  void Read(Caller& caller, int number);
+  Attempt Send(Caller& caller, Attempt attempt);
+  int ChooseProxy(Caller& caller) const;
+  void Pause() const;
+  std::string Key(const Caller& caller, int number) const;
+
+  Fleet& fleet;
+  LoadOptions options;
+  std::atomic<bool> stopping{false};
+  std::atomic<int> acknowledged{0};
+  mutable std::mutex mutex;
+  std::vector<Attempt> attempts;  ///< Guarded by `mutex`.
+  std::vector<std::thread> threads;
+};
+
+/// Proxies that a load balancer uses: it polls /readyz of each proxy every 50 ms.
+class Balancer {
+ public:
+  explicit Balancer(Fleet& fleet);
+  ~Balancer();
+  Balancer(const Balancer&) = delete;
+  Balancer& operator=(const Balancer&) = delete;
+
+  bool MayUse(int proxy) const { return this->ready.at(proxy); }
+
+ private:
+  void Run();
+
+  Fleet& fleet;
+  std::vector<std::atomic<bool>> ready;
+  std::atomic<bool> stopping{false};
+  std::thread thread;
+};
+
+}  // namespace sycamoredrum
