Test the loss of a primary with real processes

Cause: failover was tested only under a manual clock.

Change: failover_process_test loses the primary during load in three ways (killed, stopped and resumed, cut off from proxies and replicas) and checks the history, the return of the old primary as a replica, and the target of 6 s. partial_cut_process_test cuts the primary off from all proxies but not from its replicas.

--- /dev/null
+++ b/testsuite/failover/loss.cc
@@ -0,0 +1,97 @@
+#include "loss.h"
+
+#include <gtest/gtest.h>
+#include <signal.h>
+
+namespace sycamoredrum {
+namespace {
+
+using nlohmann::json;
+using std::chrono::seconds;
+using std::chrono::steady_clock;
+
+// Stated target of the failover gap at the two-year size.
+constexpr seconds kFailoverTarget(6);
+// Later than the target, so that a missed target is reported with its figure.
+constexpr seconds kWaitLimit(15);
+constexpr int kWritesBefore = 60;
+constexpr int kWritesAfter = 60;
+
+void Cut(Fleet& fleet, const std::string& primary, bool replicas_too) {
+  json hosts = json::array();
+  for (int proxy = 0; proxy < fleet.ProxyCount(); ++proxy) {
+    hosts.push_back(fleet.ProxyHost(proxy));
+  }
+  for (const std::string& server : fleet.BackendServers("orders")) {
+    if (replicas_too && server != primary) {
+      hosts.push_back(fleet.ControlAddress(server).host);
+    }
+  }
+  fleet.Switch(fleet.ControlAddress(primary), "cut", {{"hosts", hosts}, {"mode", "silent"}});
+}
+
+void Heal(Fleet& fleet, const std::string& primary) {
+  fleet.Switch(fleet.ControlAddress(primary), "cut",
+               {{"hosts", json::array()}, {"mode", "silent"}});
+}
+
+bool Follows(Fleet& fleet, const std::string& server) {
+  const HttpResult result =
+      fleet.Call(fleet.ControlAddress(server), "GET", "/v1/status", "", {}, seconds(1));
+  const json status = json::parse(result.response.body, nullptr, /*allow_exceptions=*/false);
+  return status.is_object() && status.value("role", "") == "replica";
+}
+
+}  // namespace
+
+Loss Killed() {
+  const auto lose = [](Fleet& fleet, const std::string& id) {
+    fleet.BackendProcess(id).Signal(SIGKILL);
+  };
+  return {"killed", lose, nullptr};
+}
+
+Loss Stopped() {
+  const auto lose = [](Fleet& fleet, const std::string& id) {
+    fleet.BackendProcess(id).Signal(SIGSTOP);
+  };
+  const auto restore = [](Fleet& fleet, const std::string& id) {
+    fleet.BackendProcess(id).Signal(SIGCONT);
+  };
+  return {"stopped", lose, restore};
+}
+
+Loss CutOff(bool replicas_too) {
+  const auto lose = [replicas_too](Fleet& fleet, const std::string& id) {
+    Cut(fleet, id, replicas_too);
+  };
+  return {replicas_too ? "cut_from_proxies_and_replicas" : "cut_from_proxies", lose, Heal};
+}
+
+void RunLoss(const Loss& loss) {
+  Fleet fleet{FleetOptions()};
+  fleet.Start();
+  Load load(fleet, LoadOptions());
+  ASSERT_TRUE(load.WaitForWrites(kWritesBefore, kWaitLimit));
+  const std::string old_primary = fleet.ActingPrimary("orders", kWaitLimit);
+  ASSERT_NE(old_primary, "");
+  const auto lost_at = steady_clock::now();
+  loss.lose(fleet, old_primary);
+  const auto gap = load.GapAfter(lost_at, kWaitLimit);
+  ASSERT_TRUE(gap.has_value()) << "no write was acknowledged after the loss";
+  EXPECT_LE(*gap, kFailoverTarget);
+  std::printf("failover gap %d ms\n", static_cast<int>(gap->count()));
+  EXPECT_TRUE(load.WaitForWrites(kWritesAfter, kWaitLimit));
+  if (loss.restore) {
+    loss.restore(fleet, old_primary);
+    EXPECT_TRUE(Fleet::WaitUntil([&] { return Follows(fleet, old_primary); }, kWaitLimit));
+    EXPECT_TRUE(load.WaitForWrites(kWritesAfter, kWaitLimit));
+  }
+  load.Stop();
+  const std::string primary = fleet.ActingPrimary("orders", kWaitLimit);
+  EXPECT_NE(primary, old_primary);
+  const auto violations = load.Check(primary);
+  EXPECT_TRUE(violations.empty()) << Describe(violations);
+}
+
+}  // namespace sycamoredrum
