Test killed and paused proxies with real processes

Cause: the loss of an entry proxy or of a holder was tested only in simulation.

Change: proxies_process_test kills and restarts an entry proxy and the holder of the primary during load, pauses the holder until the others have removed it, and kills the holder of an interactive transaction before and during its commit.

--- /dev/null
+++ b/testsuite/proxies/proxies_test.cc
@@ -0,0 +1,188 @@
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include <future>
+
+#include "load.h"
+
+namespace sycamoredrum {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Longer than the interval of 10 s between full-state exchanges, by which a member can return.
+constexpr seconds kWaitLimit(30);
+constexpr int kWrites = 60;
+
+class ProxiesTest : public testing::Test {
+ protected:
+  ProxiesTest() : fleet(FleetOptions()) { this->fleet.Start(); }
+
+  /// Proxy that holds a transaction, from its id "<member>.<random>".
+  static int HolderOf(const std::string& transaction) {
+    const std::string member = transaction.substr(0, transaction.find('.'));
+    return std::stoi(member.substr(member.find('-') + 1));
+  }
+
+  /// First holder of the primary's connections.
+  int Holder() {
+    const std::string transaction = this->Begin(0);
+    this->fleet.CallerCall(0, "/v1/transactions/" + transaction + "/rollback", json::object());
+    return HolderOf(transaction);
+  }
+
+  std::string Begin(int proxy) {
+    CallerAnswer answer;
+    const bool begun = Fleet::WaitUntil(
+        [&] {
+          answer =
+              this->fleet.CallerCall(proxy, "/v1/databases/orders/transactions", json::object());
+          return answer.outcome == "result";
+        },
+        kWaitLimit);
+    EXPECT_TRUE(begun) << answer.body.dump();
+    return answer.body.value("transaction", "proxy-0.none");
+  }
+
+  bool SeesMembers(int except, std::size_t count) {
+    for (int proxy = 0; proxy < this->fleet.ProxyCount(); ++proxy) {
+      const json status = proxy == except ? json() : this->fleet.Status(proxy);
+      if (proxy != except && (!status.is_object() || AliveMembers(status) != count)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  static std::size_t AliveMembers(const json& status) {
+    std::size_t count = 0;
+    for (const json& member : status.at("members")) {
+      count += member.value("state", "") == "alive" ? 1 : 0;
+    }
+    return count;
+  }
+
+  void ExpectCorrect(Load& load) {
+    load.Stop();
+    const auto violations = load.Check(this->fleet.ActingPrimary("orders", kWaitLimit));
+    EXPECT_TRUE(violations.empty()) << Describe(violations);
+  }
+
+  void KillAndRestartUnderLoad(int proxy) {
+    Load load(this->fleet, LoadOptions());
+    ASSERT_TRUE(load.WaitForWrites(kWrites, kWaitLimit));
+    this->fleet.ProxyProcess(proxy).Signal(SIGKILL);
+    EXPECT_TRUE(load.WaitForWrites(kWrites, kWaitLimit));
+    this->fleet.StartProxy(proxy);
+    const auto ready = [&] {
+      const json status = this->fleet.Status(proxy);
+      return status.is_object() && status.value("ready", false);
+    };
+    EXPECT_TRUE(Fleet::WaitUntil(ready, kWaitLimit));
+    EXPECT_TRUE(load.WaitForWrites(kWrites, kWaitLimit));
+    this->ExpectCorrect(load);
+  }
+
+  Fleet fleet;
+};
+
+// Guards against a write that is lost or run twice when its entry proxy dies.
+TEST_F(ProxiesTest, KilledEntryProxyLosesAndRepeatsNothing) {
+  const int holder = this->Holder();
+  this->KillAndRestartUnderLoad((holder + 2) % this->fleet.ProxyCount());
+}
+
+// Guards against a write that is lost or run twice when the holder of its connection dies.
+TEST_F(ProxiesTest, KilledHolderLosesAndRepeatsNothing) {
+  this->KillAndRestartUnderLoad(this->Holder());
+}
+
+// Guards against late actions of a proxy that was paused while the others took over its duties.
+TEST_F(ProxiesTest, PausedHolderReturnsHarmlessly) {
+  const int holder = this->Holder();
+  Load load(this->fleet, LoadOptions());
+  ASSERT_TRUE(load.WaitForWrites(kWrites, kWaitLimit));
+  this->fleet.ProxyProcess(holder).Signal(SIGSTOP);
+  const std::size_t count = this->fleet.ProxyCount();
+  EXPECT_TRUE(Fleet::WaitUntil([&] { return this->SeesMembers(holder, count - 1); }, kWaitLimit));
+  EXPECT_TRUE(load.WaitForWrites(kWrites, kWaitLimit));
+  this->fleet.ProxyProcess(holder).Signal(SIGCONT);
+  EXPECT_TRUE(Fleet::WaitUntil([&] { return this->SeesMembers(-1, count); }, kWaitLimit));
+  EXPECT_TRUE(load.WaitForWrites(kWrites, kWaitLimit));
+  this->ExpectCorrect(load);
+}
+
+/// When the holder of an open transaction is killed.
+struct Moment {
+  std::string name;
+  bool commit_sent;
+};
+
+class KilledTransactionTest : public ProxiesTest, public testing::WithParamInterface<Moment> {
+ protected:
+  CallerAnswer Commit(int entry, const std::string& transaction) {
+    return this->fleet.CallerCall(entry, "/v1/transactions/" + transaction + "/commit",
+                                  json::object());
+  }
+
+  /// Sends the commit, kills the holder while the commit waits at the backend server, and returns
+  /// the answer.
+  CallerAnswer CommitAndKill(int entry, const std::string& transaction) {
+    const Endpoint control =
+        this->fleet.ControlAddress(this->fleet.ActingPrimary("orders", kWaitLimit));
+    this->fleet.Switch(control, "statement-delay", {{"ms", 500}});
+    auto commit = std::async(std::launch::async, [&] { return this->Commit(entry, transaction); });
+    const auto sent = [&] {
+      return this->fleet.Status(entry).value("requests_in_progress", 0) > 0;
+    };
+    EXPECT_TRUE(Fleet::WaitUntil(sent, kWaitLimit));
+    this->fleet.ProxyProcess(HolderOf(transaction)).Signal(SIGKILL);
+    CallerAnswer answer = commit.get();
+    this->fleet.Switch(control, "statement-delay", {{"ms", 0}});
+    return answer;
+  }
+};
+
+// Guards against a commit answer that is not true and against half a transaction.
+TEST_P(KilledTransactionTest, EndsTruthfullyAndAsAWhole) {
+  const int holder = this->Holder();
+  const int entry = (holder + 2) % this->fleet.ProxyCount();
+  const std::string transaction = this->Begin(entry);
+  ASSERT_EQ(HolderOf(transaction), holder);
+  const json body = {{"statements", {"APPEND list x;", "ADD count-list 1"}}};
+  const CallerAnswer run =
+      this->fleet.CallerCall(entry, "/v1/transactions/" + transaction + "/execute", body);
+  ASSERT_EQ(run.outcome, "result") << run.body.dump();
+  CallerAnswer answer;
+  if (GetParam().commit_sent) {
+    answer = this->CommitAndKill(entry, transaction);
+  } else {
+    this->fleet.ProxyProcess(holder).Signal(SIGKILL);
+    answer = this->Commit(entry, transaction);
+  }
+  EXPECT_TRUE(answer.outcome == "unknown" || answer.outcome == "not_run") << answer.body.dump();
+  std::printf("commit was answered with %s\n", answer.body.dump().c_str());
+  // A write that is acknowledged afterwards has a later position than anything of the transaction.
+  const auto later = [&] {
+    return this->fleet.Execute(entry, "orders", {{"statements", {"PUT later x"}}}).outcome ==
+           "result";
+  };
+  EXPECT_TRUE(Fleet::WaitUntil(later, kWaitLimit));
+  const std::string primary = this->fleet.ActingPrimary("orders", kWaitLimit);
+  const std::string list = this->fleet.Value(primary, "list");
+  const std::string count = this->fleet.Value(primary, "count-list");
+  EXPECT_EQ(list.empty(), count.empty());
+  if (answer.outcome == "not_run") {
+    EXPECT_EQ(list, "");
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Moments, KilledTransactionTest,
+                         testing::Values(Moment{"before_commit", false},
+                                         Moment{"during_commit", true}),
+                         [](const auto& info) { return info.param.name; });
+
+}  // namespace
+}  // namespace sycamoredrum
