Test own reads next to a replica that lags far behind

Cause: with a replication lag of 5 ms the load rarely meets a replica that lacks the caller's last write.

Change: a process test gives one replica a lag of 300 ms under load.

--- a/testsuite/proxies/proxies_test.cc
+++ b/testsuite/proxies/proxies_test.cc
@@ -114,6 +114,18 @@
   this->ExpectCorrect(load);
 }
 
+// Guards against a stale own read from a replica that lags far behind, also through another proxy.
+TEST_F(ProxiesTest, LaggingReplicaServesNoStaleOwnRead) {
+  const std::string primary = this->fleet.ActingPrimary("orders", kWaitLimit);
+  const std::vector<std::string> servers = this->fleet.BackendServers("orders");
+  // One replica only: the other one has to confirm the writes.
+  const std::string& lagging = servers[0] == primary ? servers[1] : servers[0];
+  this->fleet.Switch(this->fleet.ControlAddress(lagging), "lag", {{"ms", 300}});
+  Load load(this->fleet, LoadOptions());
+  EXPECT_TRUE(load.WaitForWrites(4 * kWrites, kWaitLimit));
+  this->ExpectCorrect(load);
+}
+
 /// When the holder of an open transaction is killed.
 struct Moment {
   std::string name;
