Replace a primary that only its replicas reach

Cause: partial_cut_process_test: with the primary cut off from all proxies but not from its replicas, no write was acknowledged within 15 s, because a replica that hears from the primary held the promotion back without limit. Ruled out: detection and fencing, which work in the other cuts. Change: replicas hold a promotion back for at most 1.5 s of silence; after that at least one other watcher must agree and none may see the primary. A fleet with a single reachable watcher still waits.

--- a/src/failover/database_watcher.cc
+++ b/src/failover/database_watcher.cc
@@ -162,10 +162,13 @@
     return true;
   }
   const Duration suspicion_time = this->SuspicionTime(group);
-  if (now - this->servers.at(group.primary).SilentSince() < suspicion_time) {
+  const Duration silence = now - this->servers.at(group.primary).SilentSince();
+  if (silence < suspicion_time) {
     return false;
   }
-  return !AskReplicas(this->servers, group, suspicion_time, now).heard_recently;
+  // A primary that only its replicas reach is lost to the callers. The other watchers then decide.
+  return silence >= this->timings.max_replica_hold ||
+         !AskReplicas(this->servers, group, suspicion_time, now).heard_recently;
 }
 
 void DatabaseWatcher::Impl::OnEvaluationTimer() {
@@ -253,7 +256,8 @@
   const Duration suspicion_time = this->SuspicionTime(group);
   const TimePoint now = this->clock.Now();
   const bool gives_way = now - *this->incident->ready_since < this->timings.give_way_time;
-  int agreeing = AskReplicas(this->servers, group, suspicion_time, now).silent;
+  const ReplicaTestimony replicas = AskReplicas(this->servers, group, suspicion_time, now);
+  int agreeing = replicas.heard_recently ? 0 : replicas.silent;
   for (const WatcherOpinion& opinion : opinions) {
     const bool newer = opinion.term > group.term;
     const bool same = opinion.term == group.term && opinion.primary == group.primary;
--- a/src/include/sycamoredrum/database_watcher.h
+++ b/src/include/sycamoredrum/database_watcher.h
@@ -86,6 +86,9 @@
   /// attempt lasts.
   Duration promise_ahead_time = std::chrono::seconds(3);
   /// Longest time for which a watcher that is ready to promote gives way to another's attempt.
+  /// Longest time for which replicas that hear from a silent primary hold a promotion back. After
+  /// it, the agreement of another watcher is needed.
+  Duration max_replica_hold = std::chrono::milliseconds(1500);
   Duration give_way_time = std::chrono::seconds(1);
   Duration hand_over_retry = std::chrono::seconds(5);
   Duration max_hand_over_lag = std::chrono::seconds(1);  ///< Greatest lag of a usable replica.
