Name the reason for a primary in the output of route

Cause: the line "primary reads none" reads as if no read went to the primary. Change: the line is called "why primary", as the field primary_reason of the JSON. Conclusion: the table and the JSON say the same.

--- a/src/sycamoredrum/command_route.cc
+++ b/src/sycamoredrum/command_route.cc
@@ -26,7 +26,7 @@
   }
   fmt::print("writes go to   {}\n", route.value("writes", ""));
   fmt::print("reads require  {}\n", route.value("require", ""));
-  fmt::print("primary reads  {}\n", route.value("primary_reason", ""));
+  fmt::print("why primary    {}\n", route.value("primary_reason", ""));
   TextTable table({"READS GO TO", "WAIT MS", "HOLDERS"});
   for (const json& read : route.at("reads")) {
     table.AddRow({read.value("backend_server", ""), std::to_string(read.value("wait_ms", 0)),
