Let process tests notice one-copy acknowledgement and a missing request record

Cause: with acknowledgement after one copy, and with the stand-in's request records switched off, the process tests still passed: a replica held every write when the primary was killed, and no answer was lost after a write ran.

Change: one more loss cuts the replication and kills the primary when it has run writes that no replica holds. A test in proxies_process_test loses the answers of 20 calls of the primary.

--- a/testsuite/failover/failover_test.cc
+++ b/testsuite/failover/failover_test.cc
@@ -12,7 +12,8 @@
 TEST_P(FailoverTest, KeepsTheHistoryAndResumesInTime) { RunLoss(GetParam()); }
 
 INSTANTIATE_TEST_SUITE_P(Losses, FailoverTest,
-                         testing::Values(Killed(), Stopped(), CutOff(/*replicas_too=*/true)),
+                         testing::Values(Killed(), KilledAheadOfReplicas(), Stopped(),
+                                         CutOff(/*replicas_too=*/true)),
                          [](const auto& info) { return info.param.name; });
 
 }  // namespace
--- a/testsuite/failover/loss.cc
+++ b/testsuite/failover/loss.cc
@@ -17,13 +17,13 @@
 constexpr int kWritesBefore = 60;
 constexpr int kWritesAfter = 60;
 
-void Cut(Fleet& fleet, const std::string& primary, bool replicas_too) {
+void Cut(Fleet& fleet, const std::string& primary, bool proxies, bool replicas) {
   json hosts = json::array();
-  for (int proxy = 0; proxy < fleet.ProxyCount(); ++proxy) {
+  for (int proxy = 0; proxies && proxy < fleet.ProxyCount(); ++proxy) {
     hosts.push_back(fleet.ProxyHost(proxy));
   }
   for (const std::string& server : fleet.BackendServers("orders")) {
-    if (replicas_too && server != primary) {
+    if (replicas && server != primary) {
       hosts.push_back(fleet.ControlAddress(server).host);
     }
   }
@@ -35,13 +35,22 @@
                {{"hosts", json::array()}, {"mode", "silent"}});
 }
 
-bool Follows(Fleet& fleet, const std::string& server) {
+json ServerStatus(Fleet& fleet, const std::string& server) {
   const HttpResult result =
       fleet.Call(fleet.ControlAddress(server), "GET", "/v1/status", "", {}, seconds(1));
-  const json status = json::parse(result.response.body, nullptr, /*allow_exceptions=*/false);
+  return json::parse(result.response.body, nullptr, /*allow_exceptions=*/false);
+}
+
+bool Follows(Fleet& fleet, const std::string& server) {
+  const json status = ServerStatus(fleet, server);
   return status.is_object() && status.value("role", "") == "replica";
 }
 
+std::uint64_t LastIndex(Fleet& fleet, const std::string& server) {
+  const json status = ServerStatus(fleet, server);
+  return status.is_object() ? status.value("last_index", std::uint64_t{0}) : 0;
+}
+
 }  // namespace
 
 Loss Killed() {
@@ -51,6 +60,18 @@
   return {"killed", lose, nullptr};
 }
 
+Loss KilledAheadOfReplicas() {
+  const auto lose = [](Fleet& fleet, const std::string& id) {
+    constexpr std::uint64_t kEntriesAhead = 3;
+    Cut(fleet, id, /*proxies=*/false, /*replicas=*/true);
+    const std::uint64_t index = LastIndex(fleet, id);
+    EXPECT_TRUE(Fleet::WaitUntil([&] { return LastIndex(fleet, id) >= index + kEntriesAhead; },
+                                 kWaitLimit));
+    fleet.BackendProcess(id).Signal(SIGKILL);
+  };
+  return {"killed_ahead_of_replicas", lose, nullptr};
+}
+
 Loss Stopped() {
   const auto lose = [](Fleet& fleet, const std::string& id) {
     fleet.BackendProcess(id).Signal(SIGSTOP);
@@ -63,7 +84,7 @@
 
 Loss CutOff(bool replicas_too) {
   const auto lose = [replicas_too](Fleet& fleet, const std::string& id) {
-    Cut(fleet, id, replicas_too);
+    Cut(fleet, id, /*proxies=*/true, replicas_too);
   };
   return {replicas_too ? "cut_from_proxies_and_replicas" : "cut_from_proxies", lose, Heal};
 }
--- a/testsuite/failover/loss.h
+++ b/testsuite/failover/loss.h
@@ -17,6 +17,9 @@
 /// Kills the process of the primary; it does not return.
 Loss Killed();
 
+/// Cuts the replication, and kills the process when it has run writes that no replica holds.
+Loss KilledAheadOfReplicas();
+
 /// Stops the process with SIGSTOP and resumes it with SIGCONT.
 Loss Stopped();
 
--- a/testsuite/proxies/proxies_test.cc
+++ b/testsuite/proxies/proxies_test.cc
@@ -126,6 +126,17 @@
   this->ExpectCorrect(load);
 }
 
+// Guards against a write that runs twice because its first answer was lost on the way from the
+// database.
+TEST_F(ProxiesTest, LostAnswersOfThePrimaryRepeatNothing) {
+  Load load(this->fleet, LoadOptions());
+  ASSERT_TRUE(load.WaitForWrites(kWrites, kWaitLimit));
+  const std::string primary = this->fleet.ActingPrimary("orders", kWaitLimit);
+  this->fleet.Switch(this->fleet.ControlAddress(primary), "lose-answers", {{"count", 20}});
+  EXPECT_TRUE(load.WaitForWrites(2 * kWrites, kWaitLimit));
+  this->ExpectCorrect(load);
+}
+
 /// When the holder of an open transaction is killed.
 struct Moment {
   std::string name;
