--- /dev/null
+++ b/src/bench/membership_fleet.cc
@@ -0,0 +1,179 @@
+#include "membership_fleet.h"
+
+#include <absl/strings/str_cat.h>
+
+#include "simulated_links.h"
+
+namespace sycamoredrum {
+namespace {
+
+constexpr std::uint64_t kFirstIncarnation = 1'000'000;
+constexpr int kFirstPort = 10'000;
+constexpr int kSeedCount = 3;
+constexpr int kSamples = 2000;
+
+}  // namespace
+
+MembershipFleet::Node::Node(MembershipFleet& fleet, int index, int generation,
+                            std::vector<Endpoint> seeds)
+    : fleet(fleet), index(index) {
+  Member self;
+  self.id = absl::StrCat("proxy-", index, "-", generation);
+  self.data_centre = absl::StrCat("data-centre-", SimulatedLinks::DataCentreOf(index));
+  self.datagrams = EndpointOf(index);
+  self.peer_links = Endpoint{"10.0.0.2", self.datagrams.port};
+  self.incarnation = kFirstIncarnation + static_cast<std::uint64_t>(generation);
+  MembershipHooks hooks;
+  hooks.send = [this](const Endpoint& to, const std::string& datagram) {
+    this->fleet.Send(*this, to, datagram);
+  };
+  hooks.changed = [] {};
+  hooks.configuration_number = [] { return std::uint64_t{8500}; };
+  hooks.number_heard = [](const std::string&, std::uint64_t) {};
+  hooks.exchange = [this](const std::string& member) { this->fleet.Exchange(*this, member); };
+  this->membership =
+      std::make_unique<Membership>(self, "fleet key of the bench", std::move(seeds), hooks,
+                                   fleet.clock, *this, [this] { return this->fleet.random(); });
+}
+
+void MembershipFleet::Node::RunAfter(Duration delay, std::function<void()> callback) {
+  const Duration total = delay + std::exchange(this->first_timer_delay, Duration::zero());
+  this->fleet.clock.RunAfter(total, [this, callback = std::move(callback)] {
+    if (!this->killed) {
+      callback();
+    }
+  });
+}
+
+MembershipFleet::MembershipFleet(int nodes, std::uint64_t seed) : random(seed) {
+  for (int i = 0; i < nodes; ++i) {
+    this->nodes.push_back(std::make_unique<Node>(*this, i, 0, std::vector<Endpoint>{}));
+  }
+  this->IntroduceAll();
+  for (auto& node : this->nodes) {
+    // A first tick later than the pause threshold makes the member drop the news of all others that
+    // it queued, as after a pause; a random part spreads the phases.
+    const auto spread = static_cast<Duration::rep>(
+        this->random() % static_cast<std::uint64_t>(Duration(Membership::kProbePeriod).count()));
+    node->first_timer_delay = Membership::kPauseThreshold + Duration(spread);
+    node->membership->Start();
+  }
+}
+
+Endpoint MembershipFleet::EndpointOf(int index) {
+  return Endpoint{"10.0.0.1", static_cast<std::uint16_t>(kFirstPort + index)};
+}
+
+int MembershipFleet::IndexOf(const Endpoint& endpoint) { return endpoint.port - kFirstPort; }
+
+void MembershipFleet::IntroduceAll() {
+  Membership& first = *this->nodes.front()->membership;
+  for (std::size_t i = 1; i < this->nodes.size(); ++i) {
+    first.MergeState(this->nodes[i]->membership->ExportState(""));
+  }
+  const std::string all = first.ExportState("");
+  for (std::size_t i = 1; i < this->nodes.size(); ++i) {
+    this->nodes[i]->membership->MergeState(all);
+  }
+}
+
+void MembershipFleet::ReplaceMembers(double rate) {
+  if (rate <= 0) {
+    return;
+  }
+  const auto period = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / rate));
+  this->clock.RunAfter(period, [this, rate] {
+    this->ReplaceOne();
+    this->ReplaceMembers(rate);
+  });
+}
+
+void MembershipFleet::ReplaceOne() {
+  const std::size_t index = this->random() % this->nodes.size();
+  std::vector<Endpoint> seeds;
+  seeds.reserve(kSeedCount);
+  for (int i = 0; i < kSeedCount; ++i) {
+    seeds.push_back(EndpointOf(static_cast<int>(this->random() % this->nodes.size())));
+  }
+  std::unique_ptr<Node>& place = this->nodes[index];
+  place->killed = true;
+  place->membership->Stop();
+  this->stopped.push_back(std::move(place));
+  const int generation = static_cast<int>(++this->replaced);
+  place = std::make_unique<Node>(*this, static_cast<int>(index), generation, seeds);
+  place->membership->Start();
+}
+
+void MembershipFleet::LoseDataCentre(int data_centre) {
+  for (auto& node : this->nodes) {
+    if (SimulatedLinks::DataCentreOf(node->index) == data_centre) {
+      node->killed = true;
+      node->membership->Stop();
+    }
+  }
+}
+
+const MembershipFleet::Node& MembershipFleet::AnyNode(bool killed) {
+  const Node* node = nullptr;
+  while (node == nullptr || node->killed != killed) {
+    node = this->nodes[this->random() % this->nodes.size()].get();
+  }
+  return *node;
+}
+
+double MembershipFleet::NoticedShare() {
+  int noticed = 0;
+  for (int i = 0; i < kSamples; ++i) {
+    const Node& observer = this->AnyNode(false);
+    const Node& observed = this->AnyNode(true);
+    const Member* member = observer.membership->Find(observed.membership->Self().id);
+    noticed += member == nullptr || member->state == MemberState::kDead ? 1 : 0;
+  }
+  return static_cast<double>(noticed) / kSamples;
+}
+
+void MembershipFleet::Send(const Node& from, const Endpoint& to, const std::string& datagram) {
+  ++this->traffic.datagrams;
+  this->traffic.datagram_bytes += datagram.size();
+  const int target = IndexOf(to);
+  if (std::bernoulli_distribution(kLoss)(this->random)) {
+    return;
+  }
+  const Endpoint source = EndpointOf(from.index);
+  this->clock.RunAfter(SimulatedLinks::Delay(from.index, target), [this, target, source, datagram] {
+    Node& receiver = *this->nodes[static_cast<std::size_t>(target)];
+    if (!receiver.killed) {
+      receiver.membership->HandleDatagram(source, datagram);
+    }
+  });
+}
+
+void MembershipFleet::Exchange(Node& from, const std::string& member) {
+  const int target = IndexOf(from.membership->Find(member)->datagrams);
+  Node& peer = *this->nodes[static_cast<std::size_t>(target)];
+  if (peer.killed || peer.membership->Self().id != member) {
+    return;
+  }
+  const std::string digest = from.membership->ExportDigest();
+  const std::string state = peer.membership->ExportState(digest);
+  ++this->traffic.exchanges;
+  this->traffic.exchange_bytes += digest.size() + state.size();
+  this->clock.RunAfter(2 * SimulatedLinks::Delay(from.index, target), [&from, state] {
+    if (!from.killed) {
+      from.membership->MergeState(state);
+    }
+  });
+}
+
+double MembershipFleet::KnownShare() {
+  int known = 0;
+  for (int i = 0; i < kSamples; ++i) {
+    const Node& observer = *this->nodes[this->random() % this->nodes.size()];
+    const Node& observed = *this->nodes[this->random() % this->nodes.size()];
+    const Member* member = observer.membership->Find(observed.membership->Self().id);
+    known += member != nullptr && member->IsLive() ? 1 : 0;
+  }
+  return static_cast<double>(known) / kSamples;
+}
+
+}  // namespace sycamoredrum
