Answer every control call and proof, and let ThreadSanitizer see the locks

Cause: the daemon used absl::Mutex. The libabsl of the system is built without ThreadSanitizer, which therefore reported a race for nearly every access under a lock. Control calls on a backend server that a new ticket had removed, and proofs that waited when a ticket changed the backend servers, were never answered. A peer message with a field of the wrong type threw on a worker and ended the process. A question to a watcher with no time left was still sent, and a watcher cut off from its backend servers used the whole deadline although other watchers could answer.

Change: std::mutex as in src/net. Control hooks and wait_position call back with nothing for unknown backend servers. ViewService hands waiting proofs to the new rounds, stops at the deadline, and limits its own rounds like a question to a watcher while other watchers remain. ReadField reads fields of peer messages without exceptions.

--- a/src/include/sycamoredrum/log.h
+++ b/src/include/sycamoredrum/log.h
@@ -1,11 +1,9 @@
 #pragma once
 
-#include <absl/base/thread_annotations.h>
-#include <absl/synchronization/mutex.h>
-
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -60,8 +58,8 @@
   const LogFormat format;
   const Clock& clock;
   const Sink sink;
-  absl::Mutex mutex;
-  std::map<std::string, EventRate, std::less<>> rates ABSL_GUARDED_BY(mutex);
+  std::mutex mutex;  // Guards the members below.
+  std::map<std::string, EventRate, std::less<>> rates;
 };
 
 }  // namespace sycamoredrum
--- a/src/proxy/backend_connections.cc
+++ b/src/proxy/backend_connections.cc
@@ -69,7 +69,7 @@
 void BackendConnections::Close(ConnectionId connection_id) {
   ConnectionPtr connection;
   {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard<std::mutex> lock(this->mutex);
     auto node = this->connections.extract(connection_id);
     if (!node.empty()) {
       connection = std::move(node.mapped());
@@ -81,14 +81,14 @@
 }
 
 ConnectionId BackendConnections::Add(ConnectionPtr connection) {
-  const absl::MutexLock lock(&this->mutex);
+  const std::lock_guard<std::mutex> lock(this->mutex);
   const ConnectionId id = this->next_connection++;
   this->connections.emplace(id, std::move(connection));
   return id;
 }
 
 BackendConnections::ConnectionPtr BackendConnections::Find(ConnectionId connection_id) {
-  const absl::MutexLock lock(&this->mutex);
+  const std::lock_guard<std::mutex> lock(this->mutex);
   const auto found = this->connections.find(connection_id);
   return found == this->connections.end() ? nullptr : found->second;
 }
--- a/src/proxy/backend_connections.h
+++ b/src/proxy/backend_connections.h
@@ -1,11 +1,10 @@
 #pragma once
 
-#include <absl/base/thread_annotations.h>
 #include <absl/container/flat_hash_map.h>
-#include <absl/synchronization/mutex.h>
 
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 
@@ -44,9 +43,9 @@
 
   EventLoop& loop;
   const HttpClientOptions options;
-  absl::Mutex mutex;
-  absl::flat_hash_map<ConnectionId, ConnectionPtr> connections ABSL_GUARDED_BY(mutex);
-  ConnectionId next_connection ABSL_GUARDED_BY(mutex) = 1;
+  std::mutex mutex;  // Guards the members below.
+  absl::flat_hash_map<ConnectionId, ConnectionPtr> connections;
+  ConnectionId next_connection = 1;
 };
 
 }  // namespace sycamoredrum
--- a/src/proxy/configuration_service.cc
+++ b/src/proxy/configuration_service.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "peer_body.h"
 #include "sycamoredrum/duties.h"
 
 namespace sycamoredrum {
@@ -129,13 +130,9 @@
 }
 
 std::string ConfigurationService::AnswerTickets(const std::string& body) {
-  const nlohmann::json json = nlohmann::json::parse(body, nullptr, /*allow_exceptions=*/false);
-  std::uint64_t after = 0;
-  std::size_t limit = ConfigurationSync::kTicketsPerMessage;
-  if (json.is_object()) {
-    after = json.value("after", after);
-    limit = json.value("limit", limit);
-  }
+  const auto after = ReadField(body, "after", std::uint64_t{0});
+  const std::size_t limit =
+      ReadField(body, "limit", std::size_t{ConfigurationSync::kTicketsPerMessage});
   const TicketsAnswer answer = this->context->Run([&] {
     return this->sync->HandlePull(after, std::min(limit, ConfigurationSync::kTicketsPerMessage));
   });
--- a/src/proxy/holder_registry.cc
+++ b/src/proxy/holder_registry.cc
@@ -56,6 +56,8 @@
           });
       return;
     }
+    this->parts.loop.Post(
+        [wrapped = this->context->Wrap(std::move(callback))] { wrapped(std::nullopt); });
   };
   return hooks;
 }
--- a/src/proxy/locks.h
+++ b/src/proxy/locks.h
@@ -1,9 +1,8 @@
 #pragma once
 
-#include <absl/synchronization/mutex.h>
-
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <utility>
 
 #include "sycamoredrum/clock.h"
@@ -17,6 +16,9 @@
 /// first. Code that holds it may take these, each for a few lines and one at a time: the mutexes of
 /// ConfigurationHolder, ViewTable, PeerLinks, Logger, Metrics and the classes of the library net.
 /// To call another context's object, code posts to the event loop.
+///
+/// The daemon uses std::mutex: ThreadSanitizer does not see the locks of a libabsl that was built
+/// without it, and reports accesses under absl::Mutex as races.
 class SerialContext : public Scheduler, public std::enable_shared_from_this<SerialContext> {
  public:
   static std::shared_ptr<SerialContext> Create(Scheduler& timers) {
@@ -33,7 +35,7 @@
   template <typename... Args>
   std::function<void(Args...)> Wrap(std::function<void(Args...)> callback) {
     return [self = this->shared_from_this(), callback = std::move(callback)](Args... args) {
-      const absl::MutexLock lock(&self->mutex);
+      const std::lock_guard<std::mutex> lock(self->mutex);
       if (!self->closed) {
         callback(args...);
       }
@@ -43,13 +45,13 @@
   /// Calls `action` under the mutex and returns its result.
   template <typename Action>
   auto Run(Action action) {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard<std::mutex> lock(this->mutex);
     return action();
   }
 
   /// Ends all wrapped callbacks and timers. The decision object may be destroyed afterwards.
   void Close() {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard<std::mutex> lock(this->mutex);
     this->closed = true;
   }
 
@@ -57,7 +59,7 @@
   explicit SerialContext(Scheduler& timers) : timers(timers) {}
 
   Scheduler& timers;
-  absl::Mutex mutex;
+  std::mutex mutex;
   bool closed = false;
 };
 
--- a/src/proxy/membership_service.cc
+++ b/src/proxy/membership_service.cc
@@ -7,6 +7,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "peer_body.h"
+
 namespace sycamoredrum {
 
 MembershipService::MembershipService(Parts parts)
@@ -78,10 +80,9 @@
 void MembershipService::Exchange(const std::string& member) {
   const nlohmann::json body = {{"digest", absl::Base64Escape(this->membership->ExportDigest())}};
   PeerCallback done = [this](const PeerAnswer& answer) {
-    const nlohmann::json json =
-        nlohmann::json::parse(answer.body, nullptr, /*allow_exceptions=*/false);
     std::string state;
-    if (answer.Ok() && json.is_object() && absl::Base64Unescape(json.value("state", ""), &state)) {
+    if (answer.Ok() &&
+        absl::Base64Unescape(ReadField(answer.body, "state", std::string()), &state)) {
       this->membership->MergeState(state);
     }
   };
@@ -90,9 +91,8 @@
 }
 
 std::string MembershipService::AnswerMembers(const std::string& body) {
-  const nlohmann::json json = nlohmann::json::parse(body, nullptr, /*allow_exceptions=*/false);
   std::string digest;
-  if (json.is_object() && !absl::Base64Unescape(json.value("digest", ""), &digest)) {
+  if (!absl::Base64Unescape(ReadField(body, "digest", std::string()), &digest)) {
     digest.clear();
   }
   const std::string state =
--- /dev/null
+++ b/src/proxy/peer_body.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace sycamoredrum {
+
+/// Reads a field of a peer message, which is a JSON text. Returns `fallback` if the text is not an
+/// object, or if the field is missing or has another type than `fallback`.
+template <typename Value>
+Value ReadField(const std::string& body, const char* name, Value fallback) {
+  const nlohmann::json json = nlohmann::json::parse(body, nullptr, /*allow_exceptions=*/false);
+  if (!json.is_object()) {
+    return fallback;
+  }
+  try {
+    return json.value(name, fallback);
+  } catch (const nlohmann::json::exception&) {
+    return fallback;
+  }
+}
+
+}  // namespace sycamoredrum
--- a/src/proxy/peer_links.cc
+++ b/src/proxy/peer_links.cc
@@ -47,7 +47,7 @@
     return nullptr;
   }
   std::shared_ptr<PeerLink> replaced;  // Destroyed after the mutex is released.
-  const absl::MutexLock lock(&this->mutex);
+  const std::lock_guard<std::mutex> lock(this->mutex);
   Entry& entry = this->links[member];
   if (entry.link == nullptr || entry.endpoint != found->peer_links) {
     replaced = std::move(entry.link);
@@ -61,7 +61,7 @@
 
 void PeerLinks::Forget(const std::vector<std::string>& members) {
   std::vector<std::shared_ptr<PeerLink>> dropped;
-  const absl::MutexLock lock(&this->mutex);
+  const std::lock_guard<std::mutex> lock(this->mutex);
   for (const std::string& member : members) {
     auto node = this->links.extract(member);
     if (!node.empty()) {
--- a/src/proxy/peer_links.h
+++ b/src/proxy/peer_links.h
@@ -1,10 +1,9 @@
 #pragma once
 
-#include <absl/base/thread_annotations.h>
 #include <absl/container/flat_hash_map.h>
-#include <absl/synchronization/mutex.h>
 
 #include <memory>
+#include <mutex>
 #include <string>
 #include <vector>
 
@@ -40,8 +39,8 @@
   const PeerIdentity identity;
   const FleetSnapshot& fleet;
   Metrics& metrics;
-  absl::Mutex mutex;
-  absl::flat_hash_map<std::string, Entry> links ABSL_GUARDED_BY(mutex);
+  std::mutex mutex;  // Guards the members below.
+  absl::flat_hash_map<std::string, Entry> links;
 };
 
 }  // namespace sycamoredrum
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -1,11 +1,10 @@
 #include "sycamoredrum/proxy.h"
 
 #include <absl/strings/str_cat.h>
-#include <absl/synchronization/notification.h>
 
 #include <atomic>
 #include <map>
-#include <nlohmann/json.hpp>
+#include <mutex>
 #include <random>
 #include <utility>
 
@@ -16,6 +15,7 @@
 #include "entry_service.h"
 #include "holder_registry.h"
 #include "membership_service.h"
+#include "peer_body.h"
 #include "peer_links.h"
 #include "shared_state.h"
 #include "sycamoredrum/datagram.h"
@@ -66,8 +66,7 @@
 }
 
 std::string DatabaseOf(const std::string& body) {
-  const nlohmann::json json = nlohmann::json::parse(body, nullptr, /*allow_exceptions=*/false);
-  return json.is_object() ? json.value("database", "") : "";
+  return ReadField(body, "database", std::string());
 }
 
 }  // namespace
@@ -120,7 +119,7 @@
   std::unique_ptr<PeerServer> peer_server;
   std::unique_ptr<HttpServer> caller_server;
   std::unique_ptr<HttpServer> admin_server;
-  absl::Mutex refresh_mutex;  // Serialises Refresh; taken before all other locks.
+  std::mutex refresh_mutex;  // Serialises Refresh; taken before all other locks.
   std::atomic<bool> stopping{false};
 };
 
@@ -235,26 +234,20 @@
 }
 
 void Proxy::Impl::AnswerProve(const PeerRequest& request, const PeerRespond& respond) {
-  const nlohmann::json body =
-      nlohmann::json::parse(request.body, nullptr, /*allow_exceptions=*/false);
-  if (!body.is_object()) {
-    respond(PeerReply{"null", "bad_request", "the question cannot be read"});
-    return;
-  }
   const TimePoint now = this->loop.Now();
+  const std::string database = DatabaseOf(request.body);
   const TimePoint not_before =
-      now - std::chrono::microseconds(body.value("max_age_us", std::int64_t{0}));
+      now - std::chrono::microseconds(ReadField(request.body, "max_age_us", std::int64_t{0}));
   const TimePoint deadline =
-      now + std::chrono::milliseconds(body.value("limit_ms", std::int64_t{0}));
-  const DatabaseViewPtr known = this->view_table.Get(body.value("database", ""));
+      now + std::chrono::milliseconds(ReadField(request.body, "limit_ms", std::int64_t{0}));
+  const DatabaseViewPtr known = this->view_table.Get(database);
   const bool fresh = known != nullptr && known->proof && known->proof->proven_at >= not_before;
   if (fresh) {
     respond(PeerReply{ToJson(*known, now), "", ""});
     return;
   }
   this->views->ProveLocally(
-      body.value("database", ""), not_before, deadline,
-      [this, respond](const DatabaseViewPtr& view) {
+      database, not_before, deadline, [this, respond](const DatabaseViewPtr& view) {
         if (view == nullptr) {
           respond(PeerReply{"null", "no_proof", "no proof could be made in time"});
           return;
@@ -264,7 +257,7 @@
 }
 
 void Proxy::Impl::Refresh() {
-  const absl::MutexLock lock(&this->refresh_mutex);
+  const std::lock_guard<std::mutex> lock(this->refresh_mutex);
   if (this->stopping) {
     return;
   }
@@ -350,7 +343,7 @@
   this->logger.Info("stopping", {{"member", settings.member_id}});
   this->membership->Leave();
   {
-    const absl::MutexLock lock(&this->refresh_mutex);
+    const std::lock_guard<std::mutex> lock(this->refresh_mutex);
     this->watchers->Stop();
   }
   this->caller_server->AnnounceClose();
--- a/src/proxy/shared_state.h
+++ b/src/proxy/shared_state.h
@@ -1,11 +1,10 @@
 #pragma once
 
-#include <absl/base/thread_annotations.h>
 #include <absl/container/flat_hash_map.h>
-#include <absl/synchronization/mutex.h>
 
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <set>
 #include <string>
 #include <utility>
@@ -27,17 +26,17 @@
   Snapshot() : value(std::make_shared<const Value>()) {}
 
   std::shared_ptr<const Value> Get() const {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard<std::mutex> lock(this->mutex);
     return this->value;
   }
   void Set(std::shared_ptr<const Value> replacement) {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard<std::mutex> lock(this->mutex);
     this->value = std::move(replacement);
   }
 
  private:
-  mutable absl::Mutex mutex;
-  std::shared_ptr<const Value> value ABSL_GUARDED_BY(mutex);
+  mutable std::mutex mutex;  // Guards the members below.
+  std::shared_ptr<const Value> value;
 };
 
 using ConfigurationSnapshot = Snapshot<Configuration>;
@@ -84,14 +83,14 @@
  public:
   /// Returns nullptr if nothing is known of the database.
   DatabaseViewPtr Get(const std::string& database) const {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard<std::mutex> lock(this->mutex);
     const auto found = this->views.find(database);
     return found == this->views.end() ? nullptr : found->second;
   }
 
   /// Keeps `view` unless the table has one with a newer proof.
   void Offer(const DatabaseView& view) {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard<std::mutex> lock(this->mutex);
     DatabaseViewPtr& entry = this->views[view.database];
     const bool older = entry != nullptr && entry->proof &&
                        (!view.proof || view.proof->proven_at < entry->proof->proven_at);
@@ -101,8 +100,8 @@
   }
 
  private:
-  mutable absl::Mutex mutex;
-  absl::flat_hash_map<std::string, DatabaseViewPtr> views ABSL_GUARDED_BY(mutex);
+  mutable std::mutex mutex;  // Guards the members below.
+  absl::flat_hash_map<std::string, DatabaseViewPtr> views;
 };
 
 /// Sends a request to another member. Calls back exactly once, never from inside the call.
--- a/src/proxy/view_service.cc
+++ b/src/proxy/view_service.cc
@@ -53,14 +53,20 @@
 }
 
 void ViewService::AskNextWatcher(const std::shared_ptr<Question>& question) {
-  const bool local = question->next_watcher >= question->watchers.size() ||
-                     question->watchers[question->next_watcher] == this->parts.member;
-  if (local) {
-    // Also the last resort of a proxy that reaches no watcher.
+  if (this->parts.loop.Now() >= question->deadline) {
+    this->parts.loop.Post([question] { question->callback(nullptr); });
+    return;
+  }
+  if (question->next_watcher >= question->watchers.size()) {
+    // The last resort of a proxy that gets no proof from any watcher.
     this->ProveLocally(question->database, question->not_before, question->deadline,
                        question->callback);
     return;
   }
+  if (question->watchers[question->next_watcher] == this->parts.member) {
+    this->ProveHere(question);
+    return;
+  }
   const std::string watcher = question->watchers[question->next_watcher++];
   const TimePoint now = this->parts.loop.Now();
   const Duration limit = std::min<Duration>(kWatcherTimeout, question->deadline - now);
@@ -73,6 +79,20 @@
       [this, question, now](const PeerAnswer& reply) { this->HandleAnswer(question, now, reply); });
 }
 
+// This process is a watcher itself. It may be cut off from backend servers that others reach.
+void ViewService::ProveHere(const std::shared_ptr<Question>& question) {
+  ++question->next_watcher;
+  const TimePoint limit = std::min(question->deadline, this->parts.loop.Now() + kWatcherTimeout);
+  this->ProveLocally(question->database, question->not_before, limit,
+                     [this, question](const DatabaseViewPtr& view) {
+                       if (view == nullptr) {
+                         this->AskNextWatcher(question);
+                       } else {
+                         question->callback(view);
+                       }
+                     });
+}
+
 void ViewService::HandleAnswer(const std::shared_ptr<Question>& question, TimePoint asked_at,
                                const PeerAnswer& reply) {
   std::optional<DatabaseView> view;
@@ -95,20 +115,37 @@
   this->parts.loop.Post([this, context = this->context, database, not_before, deadline,
                          callback = std::move(callback)] {
     context->Run([&] {
-      ProofRounds* proof_rounds = this->RoundsFor(database);
-      if (proof_rounds == nullptr) {
+      Rounds* entry = this->RoundsFor(database);
+      if (entry == nullptr) {
         this->parts.loop.Post([callback] { callback(nullptr); });
         return;
       }
-      proof_rounds->Prove(
-          not_before, deadline, [this, callback](const std::optional<DatabaseView>& view) {
-            DatabaseViewPtr answer = view ? std::make_shared<const DatabaseView>(*view) : nullptr;
-            this->parts.loop.Post([callback, answer] { callback(answer); });
-          });
+      const std::uint64_t number = this->next_proof++;
+      entry->waiting.emplace(number, LocalProof{not_before, deadline, callback});
+      this->Submit(database, *entry, number);
     });
   });
 }
 
+void ViewService::Submit(const std::string& database, Rounds& entry, std::uint64_t number) {
+  const LocalProof& proof = entry.waiting.at(number);
+  entry.rounds->Prove(proof.not_before, proof.deadline,
+                      [this, database, number](const std::optional<DatabaseView>& view) {
+                        this->AnswerLocalProof(database, number, view);
+                      });
+}
+
+void ViewService::AnswerLocalProof(const std::string& database, std::uint64_t number,
+                                   const std::optional<DatabaseView>& view) {
+  auto node = this->rounds[database].waiting.extract(number);
+  if (node.empty()) {
+    return;
+  }
+  DatabaseViewPtr answer = view ? std::make_shared<const DatabaseView>(*view) : nullptr;
+  this->parts.loop.Post(
+      [callback = std::move(node.mapped().callback), answer] { callback(answer); });
+}
+
 void ViewService::Offer(const DatabaseView& view) {
   this->parts.views.Offer(view);
   this->parts.loop.Post([this, context = this->context, view] {
@@ -121,7 +158,7 @@
   });
 }
 
-ProofRounds* ViewService::RoundsFor(const std::string& database) {
+ViewService::Rounds* ViewService::RoundsFor(const std::string& database) {
   const auto config = FindDatabase(this->parts.configuration, database);
   if (config == nullptr) {
     return nullptr;
@@ -136,8 +173,12 @@
     entry.backend_servers = servers;
     entry.rounds = std::make_unique<ProofRounds>(database, servers, this->MakeHooks(database),
                                                  this->parts.loop, *this->context);
+    // The replaced rounds took their waiting proofs with them.
+    for (const auto& [number, unused] : entry.waiting) {
+      this->Submit(database, entry, number);
+    }
   }
-  return entry.rounds.get();
+  return &entry;
 }
 
 ProofRoundHooks ViewService::MakeHooks(const std::string& database) {
@@ -146,10 +187,12 @@
                                   ProofRoundHooks::StatusCallback callback) {
     const auto config = FindDatabase(this->parts.configuration, database);
     const BackendServerConfig* server = config == nullptr ? nullptr : config->FindBackendServer(id);
-    if (server != nullptr) {
-      this->parts.control.Status(server->control, timeout,
-                                 this->context->Wrap(std::move(callback)));
+    auto wrapped = this->context->Wrap(std::move(callback));
+    if (server == nullptr) {
+      this->parts.loop.Post([wrapped] { wrapped(std::nullopt); });
+      return;
     }
+    this->parts.control.Status(server->control, timeout, wrapped);
   };
   hooks.proven = [this](const DatabaseView& view) { this->parts.views.Offer(view); };
   return hooks;
--- a/src/proxy/view_service.h
+++ b/src/proxy/view_service.h
@@ -57,21 +57,34 @@
     std::vector<std::string> watchers;
     std::size_t next_watcher = 0;
   };
+  /// A proof that this process's own rounds are to give.
+  struct LocalProof {
+    TimePoint not_before;
+    TimePoint deadline;
+    ProveCallback callback;
+  };
   struct Rounds {
     std::vector<std::string> backend_servers;
     std::unique_ptr<ProofRounds> rounds;
+    std::map<std::uint64_t, LocalProof> waiting;
   };
 
   std::vector<std::string> WatchersFor(const DatabaseConfig& database) const;
   void AskNextWatcher(const std::shared_ptr<Question>& question);
   void HandleAnswer(const std::shared_ptr<Question>& question, TimePoint asked_at,
                     const PeerAnswer& reply);
-  ProofRounds* RoundsFor(const std::string& database);
+  void ProveHere(const std::shared_ptr<Question>& question);
+  /// The rounds over the present backend servers, or nullptr for an unknown database.
+  Rounds* RoundsFor(const std::string& database);
+  void Submit(const std::string& database, Rounds& entry, std::uint64_t number);
+  void AnswerLocalProof(const std::string& database, std::uint64_t number,
+                        const std::optional<DatabaseView>& view);
   ProofRoundHooks MakeHooks(const std::string& database);
 
   Parts parts;
   std::shared_ptr<SerialContext> context;
   std::map<std::string, Rounds> rounds;
+  std::uint64_t next_proof = 1;
 };
 
 }  // namespace sycamoredrum
--- a/src/proxy/watcher_service.cc
+++ b/src/proxy/watcher_service.cc
@@ -18,9 +18,9 @@
 }  // namespace
 
 struct WatcherService::Collection {
-  absl::Mutex mutex;
-  std::size_t outstanding ABSL_GUARDED_BY(mutex) = 0;
-  std::vector<WatcherOpinion> opinions ABSL_GUARDED_BY(mutex);
+  std::mutex mutex;  // Guards the members below.
+  std::size_t outstanding = 0;
+  std::vector<WatcherOpinion> opinions;
 };
 
 WatcherService::WatcherService(Parts parts) : parts(std::move(parts)) {}
@@ -32,7 +32,7 @@
   const auto fleet = this->parts.fleet.Get();
   std::map<std::string, WatchedPtr> previous;
   {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard<std::mutex> lock(this->mutex);
     if (this->stopped) {
       return;
     }
@@ -66,7 +66,7 @@
   for (const auto& entry : previous) {
     StopOne(entry.second);
   }
-  const absl::MutexLock lock(&this->mutex);
+  const std::lock_guard<std::mutex> lock(this->mutex);
   this->watched = std::move(next);
 }
 
@@ -92,7 +92,7 @@
 }
 
 std::vector<WatcherService::WatchedPtr> WatcherService::TakeAll() {
-  const absl::MutexLock lock(&this->mutex);
+  const std::lock_guard<std::mutex> lock(this->mutex);
   this->stopped = true;
   std::vector<WatchedPtr> all;
   all.reserve(this->watched.size());
@@ -112,7 +112,7 @@
 std::string WatcherService::Opinion(const std::string& database) {
   WatchedPtr entry;
   {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard<std::mutex> lock(this->mutex);
     const auto found = this->watched.find(database);
     if (found == this->watched.end()) {
       return "{}";
@@ -130,36 +130,53 @@
   return found == nullptr ? nullptr : &found->control;
 }
 
+void WatcherService::PostNoStatus(const std::shared_ptr<SerialContext>& context,
+                                  PromotionHooks::StatusCallback callback) {
+  this->parts.loop.Post([wrapped = context->Wrap(std::move(callback))] { wrapped(std::nullopt); });
+}
+
 PromotionHooks WatcherService::MakeControlHooks(const std::string& database,
                                                 const std::shared_ptr<SerialContext>& context) {
   PromotionHooks hooks;
   hooks.fence = [this, database, context](const std::string& server, std::uint64_t term,
                                           const std::string& proposer, auto callback) {
     std::shared_ptr<const DatabaseConfig> config;
-    if (const Endpoint* control = this->ControlOf(database, server, config)) {
-      this->parts.control.Fence(*control, term, proposer, context->Wrap(std::move(callback)));
+    const Endpoint* control = this->ControlOf(database, server, config);
+    if (control == nullptr) {
+      this->PostNoStatus(context, std::move(callback));
+      return;
     }
+    this->parts.control.Fence(*control, term, proposer, context->Wrap(std::move(callback)));
   };
   hooks.promote = [this, database, context](const std::string& server, std::uint64_t term,
                                             const std::string& proposer, auto callback) {
     std::shared_ptr<const DatabaseConfig> config;
-    if (const Endpoint* control = this->ControlOf(database, server, config)) {
-      this->parts.control.Promote(*control, term, proposer, context->Wrap(std::move(callback)));
+    const Endpoint* control = this->ControlOf(database, server, config);
+    if (control == nullptr) {
+      this->PostNoStatus(context, std::move(callback));
+      return;
     }
+    this->parts.control.Promote(*control, term, proposer, context->Wrap(std::move(callback)));
   };
   hooks.follow = [this, database, context](const std::string& server, std::uint64_t term,
                                            const std::string& primary, auto callback) {
     std::shared_ptr<const DatabaseConfig> config;
-    if (const Endpoint* control = this->ControlOf(database, server, config)) {
-      this->parts.control.Follow(*control, term, primary, context->Wrap(std::move(callback)));
+    const Endpoint* control = this->ControlOf(database, server, config);
+    if (control == nullptr) {
+      this->PostNoStatus(context, std::move(callback));
+      return;
     }
+    this->parts.control.Follow(*control, term, primary, context->Wrap(std::move(callback)));
   };
   hooks.status = [this, database, context](const std::string& server, auto callback) {
     std::shared_ptr<const DatabaseConfig> config;
-    if (const Endpoint* control = this->ControlOf(database, server, config)) {
-      this->parts.control.Status(*control, BackendControl::kCallTimeout,
-                                 context->Wrap(std::move(callback)));
+    const Endpoint* control = this->ControlOf(database, server, config);
+    if (control == nullptr) {
+      this->PostNoStatus(context, std::move(callback));
+      return;
     }
+    this->parts.control.Status(*control, BackendControl::kCallTimeout,
+                               context->Wrap(std::move(callback)));
   };
   return hooks;
 }
@@ -173,6 +190,7 @@
     std::shared_ptr<const DatabaseConfig> config;
     const Endpoint* control = this->ControlOf(database, server, config);
     if (control == nullptr) {
+      this->PostNoStatus(context, std::move(callback));
       return;
     }
     auto wrapped = context->Wrap(std::move(callback));
@@ -214,7 +232,7 @@
   }
   auto collection = std::make_shared<Collection>();
   {
-    const absl::MutexLock lock(&collection->mutex);
+    const std::lock_guard<std::mutex> lock(collection->mutex);
     collection->outstanding = others.size();
   }
   const std::string body = nlohmann::json({{"database", database}}).dump();
@@ -223,7 +241,7 @@
                      [collection, callback](const PeerAnswer& reply) {
                        std::vector<WatcherOpinion> all;
                        {
-                         const absl::MutexLock lock(&collection->mutex);
+                         const std::lock_guard<std::mutex> lock(collection->mutex);
                          if (reply.error == PeerError::kNone) {
                            if (auto opinion = ParseWatcherOpinion(reply.body)) {
                              collection->opinions.push_back(std::move(*opinion));
--- a/src/proxy/watcher_service.h
+++ b/src/proxy/watcher_service.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <vector>
 
@@ -71,14 +72,17 @@
   void HandleRound(const std::string& database, const std::vector<BackendServerView>& servers,
                    TimePoint round_started);
   void HandleGap(const std::string& database, const FailoverGap& gap);
+  /// Answers a control call on a backend server that the configuration does not contain.
+  void PostNoStatus(const std::shared_ptr<SerialContext>& context,
+                    PromotionHooks::StatusCallback callback);
   const Endpoint* ControlOf(const std::string& database, const std::string& server,
                             std::shared_ptr<const DatabaseConfig>& config) const;
   std::vector<WatchedPtr> TakeAll();
 
   Parts parts;
-  absl::Mutex mutex;  // Taken before no other lock.
-  std::map<std::string, WatchedPtr> watched ABSL_GUARDED_BY(mutex);
-  bool stopped ABSL_GUARDED_BY(mutex) = false;
+  std::mutex mutex;  // Guards the members below; no other lock is taken inside it.
+  std::map<std::string, WatchedPtr> watched;
+  bool stopped = false;
 };
 
 }  // namespace sycamoredrum
--- a/src/telemetry/log.cc
+++ b/src/telemetry/log.cc
@@ -94,7 +94,7 @@
 }
 
 bool Logger::Admit(std::string_view event, std::uint64_t& suppressed) {
-  const absl::MutexLock lock(&this->mutex);
+  const std::lock_guard<std::mutex> lock(this->mutex);
   EventRate& rate = this->rates[std::string(event)];
   const TimePoint now = this->clock.Now();
   if (now - rate.second_started >= std::chrono::seconds(1)) {
