--- a/src/proxy/loopback_fleet_test.h
+++ b/src/proxy/loopback_fleet_test.h
@@ -98,10 +98,18 @@
     return json.is_object() ? json.value("outcome", "") : "";
   }
 
-  /// Waits until a write through the proxy succeeds.
-  bool WaitUntilServing(int proxy) {
+  /// Number of members that the proxy sees.
+  std::size_t Members(int proxy) {
+    const HttpResult result = this->Call(this->AdminAddress(proxy), "GET", "/v1/status");
+    const auto json = nlohmann::json::parse(result.response.body, nullptr, false);
+    return json.is_object() ? json.at("members").size() : 0;
+  }
+
+  /// Waits until the proxy sees `members` members and a write through it succeeds.
+  bool WaitUntilServing(int proxy, std::size_t members = 1) {
     const auto limit = std::chrono::steady_clock::now() + kStartLimit;
-    while (this->Execute(proxy, "PUT ready x", false) != "result") {
+    while (this->Members(proxy) < members ||
+           this->Execute(proxy, "PUT ready x", false) != "result") {
       if (std::chrono::steady_clock::now() > limit) {
         return false;
       }
