--- a/src/proxy/admin_service.cc
+++ b/src/proxy/admin_service.cc
@@ -100,7 +100,8 @@
   const TimePoint now = this->parts.loop.Now();
   const auto configuration = this->parts.configuration.Get();
   json members = json::array();
-  for (const Member& member : this->parts.fleet.Get()->members) {
+  const auto fleet = this->parts.fleet.Get();
+  for (const Member& member : fleet->members) {
     members.push_back({{"member", member.id},
                        {"data_centre", member.data_centre},
                        {"state", ToString(member.state)},
--- a/src/proxy/configuration_service.cc
+++ b/src/proxy/configuration_service.cc
@@ -78,7 +78,8 @@
   };
   hooks.members = [this] {
     std::vector<std::string> others;
-    for (const Member& member : this->parts.fleet.Get()->members) {
+    const auto fleet = this->parts.fleet.Get();
+    for (const Member& member : fleet->members) {
       if (member.id != this->parts.member) {
         others.push_back(member.id);
       }
--- a/src/proxy/shared_state.h
+++ b/src/proxy/shared_state.h
@@ -25,6 +25,8 @@
  public:
   Snapshot() : value(std::make_shared<const Value>()) {}
 
+  /// Keep the pointer while the value is in use: in `for (x : snapshot.Get()->list)` it ends before
+  /// the loop starts.
   std::shared_ptr<const Value> Get() const {
     const std::lock_guard<std::mutex> lock(this->mutex);
     return this->value;
