Expose the counters of membership, configuration and watchers

Cause: nothing fed the configuration lag, and the counters that membership, ConfigurationSync and the watchers keep were not exposed.

Change: three counters by event, brought up to date by each scrape; the lag runs from the first time that a member told a number to its being in force. The counters of a watcher are added up when it stops.

--- a/src/include/sycamoredrum/metrics.h
+++ b/src/include/sycamoredrum/metrics.h
@@ -37,6 +37,9 @@
   kReplicaLag,
   kOpenTransactions,
   kConcurrentRequests,
+  kMembershipEvents,
+  kConfigurationEvents,
+  kWatcherEvents,
 };
 
 /// Description of a metric, as exposed and as documented.
@@ -61,6 +64,10 @@
   void Set(Metric metric, const std::vector<std::string>& labels, double value);
   void Observe(Metric metric, const std::vector<std::string>& labels, Duration value);
 
+  /// Raises a counter to `total`, the value of a counter that another object keeps. A lower total
+  /// changes nothing. Calls for one counter are made one at a time.
+  void RaiseTo(Metric metric, const std::vector<std::string>& labels, double total);
+
   /// Current value of a counter or gauge; 0 if it was never touched.
   double Value(Metric metric, const std::vector<std::string>& labels = {}) const;
 
--- a/src/proxy/admin_service.cc
+++ b/src/proxy/admin_service.cc
@@ -87,8 +87,9 @@
 
 HttpResponse AdminService::ExposeMetrics() {
   Metrics& metrics = this->parts.metrics;
-  const double counted = metrics.Value(Metric::kControlCpuSeconds);
-  metrics.Increment(Metric::kControlCpuSeconds, {}, std::max(0.0, ProcessorSeconds() - counted));
+  const std::lock_guard<std::mutex> lock(this->scrape_mutex);
+  this->parts.export_counters();
+  metrics.RaiseTo(Metric::kControlCpuSeconds, {}, ProcessorSeconds());
   metrics.Set(Metric::kConcurrentRequests, {}, static_cast<double>(this->parts.entry.InProgress()));
   HttpResponse response;
   response.headers.push_back(HttpHeader{"Content-Type", "text/plain; version=0.0.4"});
--- a/src/proxy/admin_service.h
+++ b/src/proxy/admin_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <mutex>
 #include <string>
 
 #include "configuration_service.h"
@@ -32,6 +33,7 @@
     RandomSource random;
     std::function<bool()> ready;
     std::function<void()> drain;
+    std::function<void()> export_counters;  ///< Called before the metrics are exposed.
   };
 
   explicit AdminService(Parts parts) : parts(std::move(parts)) {}
@@ -44,6 +46,7 @@
   HttpResponse ExposeMetrics();
 
   Parts parts;
+  std::mutex scrape_mutex;  // Serialises scrapes, which raise counters to totals.
 };
 
 }  // namespace sycamoredrum
--- a/src/proxy/configuration_service.cc
+++ b/src/proxy/configuration_service.cc
@@ -111,6 +111,7 @@
 
 void ConfigurationService::HandleChange(const std::shared_ptr<const Configuration>& configuration) {
   this->parts.configuration.Set(configuration);
+  this->ObserveLag(configuration->Number());
   this->parts.metrics.Set(Metric::kConfigurationNumber, {},
                           static_cast<double>(configuration->Number()));
   this->parts.logger.Info("configuration_in_force",
@@ -127,7 +128,36 @@
 }
 
 void ConfigurationService::HandleNumber(const std::string& member, std::uint64_t number) {
-  this->context->Run([&] { this->sync->HandleNumber(member, number); });
+  this->context->Run([&] {
+    // A member may announce any number; the oldest ones are enough to measure the lag.
+    if (number > this->log.Number() && this->heard.size() < kMaxNumbersHeard) {
+      this->heard.emplace(number, this->parts.loop.Now());
+    }
+    this->sync->HandleNumber(member, number);
+  });
+}
+
+void ConfigurationService::ExportCounters() {
+  const ConfigurationSyncCounters counters =
+      this->context->Run([this] { return this->sync->Counters(); });
+  const std::pair<const char*, std::uint64_t> events[] = {
+      {"platform_call", counters.platform_calls}, {"platform_error", counters.platform_errors},
+      {"announcement", counters.announcements},   {"pull", counters.pulls},
+      {"failed_pull", counters.failed_pulls},
+  };
+  for (const auto& [event, total] : events) {
+    this->parts.metrics.RaiseTo(Metric::kConfigurationEvents, {event}, static_cast<double>(total));
+  }
+}
+
+// Called under the context's mutex.
+void ConfigurationService::ObserveLag(std::uint64_t number) {
+  const TimePoint now = this->parts.loop.Now();
+  const auto end = this->heard.upper_bound(number);
+  for (auto entry = this->heard.begin(); entry != end; ++entry) {
+    this->parts.metrics.Observe(Metric::kConfigurationLagSeconds, {}, now - entry->second);
+  }
+  this->heard.erase(this->heard.begin(), end);
 }
 
 std::string ConfigurationService::AnswerTickets(const std::string& body) {
--- a/src/proxy/configuration_service.h
+++ b/src/proxy/configuration_service.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -21,6 +22,8 @@
 class ConfigurationService {
  public:
   static constexpr Duration kPullTimeout = std::chrono::milliseconds(500);
+  /// Numbers whose lag is measured at the same time.
+  static constexpr std::size_t kMaxNumbersHeard = 64;
 
   struct Parts {
     EventLoop& loop;
@@ -50,6 +53,9 @@
   std::string AnswerTickets(const std::string& body);
   void HandleAnnounce(const std::string& member, const std::string& body);
 
+  /// Brings the counters of the synchronisation up to date for a scrape.
+  void ExportCounters();
+
   bool Ready() const { return this->ready; }
   std::uint64_t Number() const { return this->parts.configuration.Get()->Number(); }
 
@@ -58,12 +64,15 @@
   PlatformClient MakePlatform();
   void Pull(const std::string& member, std::uint64_t after, std::size_t limit,
             ConfigurationSyncHooks::PullCallback done);
+  void ObserveLag(std::uint64_t number);
   void HandleChange(const std::shared_ptr<const Configuration>& configuration);
 
   Parts parts;
   std::shared_ptr<SerialContext> context;
   std::atomic<bool> ready{false};
   ConfigurationLog log;
+  /// Numbers above the one in force, and when they were first heard of.
+  std::map<std::uint64_t, TimePoint> heard;
   std::unique_ptr<ConfigurationSync> sync;
 };
 
--- a/src/proxy/membership_service.cc
+++ b/src/proxy/membership_service.cc
@@ -122,8 +122,19 @@
   this->context->Run([&] { this->membership->HandleDatagram(from, datagram); });
 }
 
-MembershipCounters MembershipService::Counters() {
-  return this->context->Run([this] { return this->membership->Counters(); });
+void MembershipService::ExportCounters() {
+  const MembershipCounters counters =
+      this->context->Run([this] { return this->membership->Counters(); });
+  const std::pair<const char*, std::uint64_t> events[] = {
+      {"datagram_sent", counters.datagrams_sent},
+      {"datagram_refused", counters.datagrams_refused},
+      {"suspicion", counters.suspicions},
+      {"refutation", counters.refutations},
+      {"pause", counters.pauses},
+  };
+  for (const auto& [event, total] : events) {
+    this->parts.metrics.RaiseTo(Metric::kMembershipEvents, {event}, static_cast<double>(total));
+  }
 }
 
 }  // namespace sycamoredrum
--- a/src/proxy/membership_service.h
+++ b/src/proxy/membership_service.h
@@ -53,8 +53,8 @@
   /// Answers the peer request `members`: body and answer are {"state"} texts.
   std::string AnswerMembers(const std::string& body);
 
-  /// Datagrams and bytes sent so far, refused datagrams, suspicions and refutations.
-  MembershipCounters Counters();
+  /// Brings the counters of the protocol up to date for a scrape.
+  void ExportCounters();
 
  private:
   Member Self() const;
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -161,7 +161,12 @@
       loop, settings, configuration, fleet, view_table, *configuration_service, *entry, *holders,
       metrics, NextRandom,
       [this] { return !this->stopping && this->configuration_service->Ready(); },
-      [this] { this->BeginStop(); }});
+      [this] { this->BeginStop(); },
+      [this] {
+        this->membership->ExportCounters();
+        this->configuration_service->ExportCounters();
+        this->watchers->ExportCounters();
+      }});
   // Last, because it publishes the fleet at once and the other parts answer to that.
   this->membership = std::make_unique<MembershipService>(MembershipService::Parts{
       loop, settings, fleet, configuration, socket, call, metrics, logger, NextRandom,
--- a/src/proxy/watcher_service.cc
+++ b/src/proxy/watcher_service.cc
@@ -64,7 +64,7 @@
     previous.erase(found);
   }
   for (const auto& entry : previous) {
-    StopOne(entry.second);
+    this->StopOne(entry.first, entry.second);
   }
   const std::lock_guard<std::mutex> lock(this->mutex);
   this->watched = std::move(next);
@@ -86,26 +86,56 @@
   return entry;
 }
 
-void WatcherService::StopOne(const WatchedPtr& watched) {
-  watched->context->Run([&] { watched->watcher->Stop(); });
+void WatcherService::StopOne(const std::string& database, const WatchedPtr& watched) {
+  watched->context->Run([&] {
+    watched->watcher->Stop();
+    this->ExportOne(database, *watched);
+  });
   watched->context->Close();
 }
 
-std::vector<WatcherService::WatchedPtr> WatcherService::TakeAll() {
+std::map<std::string, WatcherService::WatchedPtr> WatcherService::TakeAll() {
   const std::lock_guard<std::mutex> lock(this->mutex);
   this->stopped = true;
-  std::vector<WatchedPtr> all;
-  all.reserve(this->watched.size());
-  for (const auto& entry : this->watched) {
-    all.push_back(entry.second);
-  }
-  this->watched.clear();
-  return all;
+  return std::exchange(this->watched, {});
 }
 
 void WatcherService::Stop() {
-  for (const WatchedPtr& entry : this->TakeAll()) {
-    StopOne(entry);
+  for (const auto& [database, entry] : this->TakeAll()) {
+    this->StopOne(database, entry);
+  }
+}
+
+void WatcherService::ExportCounters() {
+  std::map<std::string, WatchedPtr> present;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    present = this->watched;
+  }
+  for (const auto& [database, entry] : present) {
+    entry->context->Run([&] { this->ExportOne(database, *entry); });
+  }
+}
+
+// Called under the watcher's mutex. A later watcher of the same database starts from zero, so the
+// differences are added.
+void WatcherService::ExportOne(const std::string& database, Watched& watched) {
+  const WatcherCounters now = watched.watcher->Counters();
+  const WatcherCounters before = std::exchange(watched.exported, now);
+  const std::pair<const char*, std::uint64_t> events[] = {
+      {"round", now.rounds - before.rounds},
+      {"suspicion", now.suspicions - before.suspicions},
+      {"held_back", now.held_back - before.held_back},
+      {"attempt", now.attempts - before.attempts},
+      {"refused", now.refused - before.refused},
+      {"no_majority", now.no_majority - before.no_majority},
+      {"timeout", now.timeouts - before.timeouts},
+      {"follow", now.follows - before.follows},
+      {"pause", now.pauses - before.pauses},
+  };
+  for (const auto& [event, count] : events) {
+    this->parts.metrics.Increment(Metric::kWatcherEvents, {database, event},
+                                  static_cast<double>(count));
   }
 }
 
--- a/src/proxy/watcher_service.h
+++ b/src/proxy/watcher_service.h
@@ -46,6 +46,9 @@
   /// Stops all watchers; the other members of the fleet take over.
   void Stop();
 
+  /// Brings the counters of the watchers up to date for a scrape.
+  void ExportCounters();
+
   /// JSON form of the opinion of this process's watcher, or "{}" if it does not watch `database`.
   std::string Opinion(const std::string& database);
 
@@ -54,7 +57,7 @@
     std::shared_ptr<SerialContext> context;
     std::shared_ptr<const DatabaseConfig> config;
     std::unique_ptr<DatabaseWatcher> watcher;
-    WatcherAssignment assignment;
+    WatcherCounters exported;  ///< Part of the watcher's counters that the metrics contain.
   };
   using WatchedPtr = std::shared_ptr<Watched>;
 
@@ -62,7 +65,8 @@
   struct Collection;
 
   WatchedPtr Start(std::shared_ptr<const DatabaseConfig> config, WatcherAssignment assignment);
-  static void StopOne(const WatchedPtr& watched);
+  void StopOne(const std::string& database, const WatchedPtr& watched);
+  void ExportOne(const std::string& database, Watched& watched);
   WatcherHooks MakeHooks(const std::string& database,
                          const std::shared_ptr<SerialContext>& context);
   PromotionHooks MakeControlHooks(const std::string& database,
@@ -77,7 +81,7 @@
                     PromotionHooks::StatusCallback callback);
   const Endpoint* ControlOf(const std::string& database, const std::string& server,
                             std::shared_ptr<const DatabaseConfig>& config) const;
-  std::vector<WatchedPtr> TakeAll();
+  std::map<std::string, WatchedPtr> TakeAll();
 
   Parts parts;
   std::mutex mutex;  // Guards the members below; no other lock is taken inside it.
--- a/src/telemetry/metrics.cc
+++ b/src/telemetry/metrics.cc
@@ -135,6 +135,21 @@
        "sycamoredrum_concurrent_requests",
        "Callers' requests in progress",
        {}},
+      {Metric::kMembershipEvents,
+       MetricKind::kCounter,
+       "sycamoredrum_membership_events_total",
+       "Suspicions, refutations, pauses, and datagrams sent and refused",
+       {"event"}},
+      {Metric::kConfigurationEvents,
+       MetricKind::kCounter,
+       "sycamoredrum_configuration_events_total",
+       "Calls, announcements and pulls that keep the configuration up to date",
+       {"event"}},
+      {Metric::kWatcherEvents,
+       MetricKind::kCounter,
+       "sycamoredrum_watcher_events_total",
+       "Rounds, suspicions and promotion attempts of this proxy's watchers",
+       {"database", "event"}},
   };
   return *table;
 }
@@ -214,6 +229,14 @@
   this->registry->Histogram(metric, labels).Observe(ToSeconds(value));
 }
 
+void Metrics::RaiseTo(Metric metric, const std::vector<std::string>& labels, double total) {
+  prometheus::Counter& counter = this->registry->Counter(metric, labels);
+  const double missing = total - counter.Value();
+  if (missing > 0) {
+    counter.Increment(missing);
+  }
+}
+
 double Metrics::Value(Metric metric, const std::vector<std::string>& labels) const {
   if (this->registry->IsCounter(metric)) {
     return this->registry->Counter(metric, labels).Value();
