--- a/src/include/sycamoredrum/holder_service.h
+++ b/src/include/sycamoredrum/holder_service.h
@@ -42,6 +42,9 @@
   std::function<void(const std::string& backend_server, const LogPosition&, Duration timeout,
                      WaitCallback)>
       wait_position;
+  /// Optional. Called before a request waits for a connection; the returned function is called with
+  /// the end of the wait.
+  std::function<std::function<void(const LeaseAnswer&)>(const ExecuteCommand&)> waiting;
 };
 
 /// A lease of a connection to `backend_server`.
--- a/src/include/sycamoredrum/proxy.h
+++ b/src/include/sycamoredrum/proxy.h
@@ -4,13 +4,16 @@
 #include <string>
 
 #include "sycamoredrum/settings.h"
+#include "sycamoredrum/trace.h"
 
 namespace sycamoredrum {
 
 /// The daemon: all adapters between the network and the decision libraries.
 class Proxy {
  public:
-  explicit Proxy(ProxySettings settings);
+  /// `trace_sink`, if given, receives the finished spans in place of the output in the settings.
+  /// It may be called by several threads at the same time.
+  explicit Proxy(ProxySettings settings, Tracer::Sink trace_sink = nullptr);
   ~Proxy();
   Proxy(const Proxy&) = delete;
   Proxy& operator=(const Proxy&) = delete;
--- a/src/proxy/entry_service.cc
+++ b/src/proxy/entry_service.cc
@@ -249,9 +249,17 @@
         [this, delivery](const ExecuteAnswer& answer) { this->Respond(delivery, answer); });
     return;
   }
-  this->parts.call(
-      holder, "execute", ToJson(delivery->command), remaining + kPeerAllowance,
-      [this, delivery](const PeerAnswer& reply) { this->HandlePeerAnswer(delivery, reply); });
+  auto span = std::make_shared<TraceSpan>(
+      this->parts.tracer.StartSpan("peer", delivery->command.trace_parent));
+  span->SetTag("member", holder);
+  ExecuteCommand command = delivery->command;
+  command.trace_parent = span->TraceParent();
+  this->parts.call(holder, "execute", ToJson(command), remaining + kPeerAllowance,
+                   [this, delivery, span](const PeerAnswer& reply) {
+                     span->SetTag("answered", reply.Ok() ? "true" : "false");
+                     span->Finish();
+                     this->HandlePeerAnswer(delivery, reply);
+                   });
 }
 
 void EntryService::HandlePeerAnswer(const DeliveryPtr& delivery, const PeerAnswer& reply) {
--- a/src/proxy/holder_registry.cc
+++ b/src/proxy/holder_registry.cc
@@ -33,9 +33,9 @@
   };
   hooks.execute = [this](ConnectionId connection, const BackendRequest& request, Duration timeout,
                          BackendCallback callback) {
-    this->parts.connections.Execute(connection, request, timeout,
-                                    this->context->Wrap(std::move(callback)));
+    this->ExecuteOnConnection(connection, request, timeout, std::move(callback));
   };
+  hooks.waiting = [this](const ExecuteCommand& command) { return this->ObserveWait(command); };
   hooks.wait_position = [this](const std::string& id, const LogPosition& position, Duration timeout,
                                WaitCallback callback) {
     const auto configuration = this->parts.configuration.Get();
@@ -69,7 +69,10 @@
     this->parts.connections.Open(endpoint, database, kOpenTimeout,
                                  this->context->Wrap(std::move(callback)));
   };
-  hooks.close = [this](ConnectionId connection) { this->parts.connections.Close(connection); };
+  hooks.close = [this](ConnectionId connection) {
+    this->trace_parents.erase(connection);
+    this->parts.connections.Close(connection);
+  };
   return hooks;
 }
 
@@ -121,16 +124,56 @@
                              ExecuteCallback callback) {
   this->parts.loop.Post([context = this->context, this, command = std::move(command), entry,
                          callback = std::move(callback)] {
-    context->Run([&] {
-      if (command.request.step == TransactionStep::kSingle) {
-        this->service->Execute(command, callback);
-      } else {
-        this->transactions->Execute(command, entry, callback);
-      }
-    });
+    context->Run([&] { this->RunCommand(command, entry, callback); });
   });
 }
 
+void HolderRegistry::RunCommand(const ExecuteCommand& command, const std::string& entry,
+                                const ExecuteCallback& callback) {
+  if (command.request.step == TransactionStep::kSingle) {
+    this->service->Execute(command, callback);
+    return;
+  }
+  this->step_trace_parent = command.trace_parent;
+  this->transactions->Execute(command, entry, callback);
+  this->step_trace_parent.clear();
+}
+
+void HolderRegistry::ExecuteOnConnection(ConnectionId connection, const BackendRequest& request,
+                                         Duration timeout, BackendCallback callback) {
+  std::string& trace_parent = this->trace_parents[connection];
+  const bool takes_lease =
+      request.step == TransactionStep::kSingle || request.step == TransactionStep::kBegin;
+  if (!takes_lease && !this->step_trace_parent.empty()) {
+    trace_parent = this->step_trace_parent;
+  }
+  auto span = std::make_shared<TraceSpan>(this->parts.tracer.StartSpan("backend", trace_parent));
+  auto wrapped = this->context->Wrap(std::move(callback));
+  this->parts.connections.Execute(
+      connection, request, timeout, [span, wrapped](const std::optional<BackendReply>& reply) {
+        span->SetTag("result", reply ? ToString(reply->error) : "no_answer");
+        span->Finish();
+        wrapped(reply);
+      });
+}
+
+std::function<void(const LeaseAnswer&)> HolderRegistry::ObserveWait(const ExecuteCommand& command) {
+  auto span =
+      std::make_shared<TraceSpan>(this->parts.tracer.StartSpan("pool_wait", command.trace_parent));
+  span->SetTag("backend_server", command.backend_server);
+  return [this, span, server = command.backend_server, trace_parent = command.trace_parent,
+          started = this->parts.loop.Now()](const LeaseAnswer& answer) {
+    this->parts.metrics.Observe(Metric::kPoolWaitSeconds, {server},
+                                this->parts.loop.Now() - started);
+    const bool granted = answer.status == LeaseStatus::kGranted;
+    span->SetTag("granted", granted ? "true" : "false");
+    span->Finish();
+    if (granted) {
+      this->trace_parents[answer.lease.connection] = trace_parent;
+    }
+  };
+}
+
 void HolderRegistry::MemberGone(const std::string& entry) {
   this->context->Run([&] { this->transactions->MemberGone(entry); });
 }
--- a/src/proxy/holder_registry.h
+++ b/src/proxy/holder_registry.h
@@ -12,6 +12,7 @@
 #include "sycamoredrum/event_loop.h"
 #include "sycamoredrum/holder_service.h"
 #include "sycamoredrum/metrics.h"
+#include "sycamoredrum/trace.h"
 #include "sycamoredrum/transaction_table.h"
 
 namespace sycamoredrum {
@@ -32,6 +33,7 @@
     BackendConnections& connections;
     BackendControl& control;
     Metrics& metrics;
+    Tracer& tracer;
     RandomSource random;
   };
 
@@ -64,6 +66,11 @@
   };
 
   HolderHooks MakeHooks();
+  void ExecuteOnConnection(ConnectionId connection, const BackendRequest& request, Duration timeout,
+                           BackendCallback callback);
+  std::function<void(const LeaseAnswer&)> ObserveWait(const ExecuteCommand& command);
+  void RunCommand(const ExecuteCommand& command, const std::string& entry,
+                  const ExecuteCallback& callback);
   ConnectionPoolHooks MakePoolHooks(const BackendServerConfig& server, const std::string& database);
   void RefreshServer(const DatabaseConfig& database, const BackendServerConfig& server);
   void DropUnwantedPools();
@@ -72,6 +79,9 @@
   Parts parts;
   std::shared_ptr<SerialContext> context;
   std::map<std::string, Held> pools;
+  /// Trace parent of the last command on each leased connection.
+  std::map<ConnectionId, std::string> trace_parents;
+  std::string step_trace_parent;  ///< Of the step of an open transaction that is being started.
   std::unique_ptr<HolderService> service;
   std::unique_ptr<TransactionTable> transactions;
 };
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -73,7 +73,7 @@
 
 class Proxy::Impl {
  public:
-  explicit Impl(ProxySettings proxy_settings);
+  Impl(ProxySettings proxy_settings, Tracer::Sink trace_sink);
   ~Impl();
 
   bool Start(std::string& reason);
@@ -123,11 +123,12 @@
   std::atomic<bool> stopping{false};
 };
 
-Proxy::Impl::Impl(ProxySettings proxy_settings)
+Proxy::Impl::Impl(ProxySettings proxy_settings, Tracer::Sink trace_sink)
     : settings(std::move(proxy_settings)),
       loop(settings.workers),
       logger(settings.log_level, settings.log_format, loop, Logger::StandardError()),
-      tracer(settings.trace_sample_ratio, NextRandom, TraceSink(settings.trace_output)),
+      tracer(settings.trace_sample_ratio, NextRandom,
+             trace_sink ? std::move(trace_sink) : TraceSink(settings.trace_output)),
       client(loop, ClientOptions(settings)),
       connections(loop, ClientOptions(settings)),
       control(client),
@@ -147,7 +148,7 @@
       [this](const std::vector<std::string>& hosts) { this->SeedHosts(hosts); }});
   this->holders = std::make_unique<HolderRegistry>(
       HolderRegistry::Parts{loop, settings.member_id, configuration, fleet, leaving, connections,
-                            control, metrics, NextRandom});
+                            control, metrics, tracer, NextRandom});
   this->views = std::make_unique<ViewService>(
       ViewService::Parts{loop, settings.member_id, settings.data_centre, configuration, fleet,
                          view_table, control, call});
@@ -224,13 +225,14 @@
 }
 
 void Proxy::Impl::AnswerExecute(const PeerRequest& request, const PeerRespond& respond) {
-  const std::optional<ExecuteCommand> command = ParseExecuteCommand(request.body);
+  std::optional<ExecuteCommand> command = ParseExecuteCommand(request.body);
   if (!command) {
     respond(PeerReply{"null", "bad_request", "the command cannot be read"});
     return;
   }
   auto span = std::make_shared<TraceSpan>(this->tracer.StartSpan("holder", command->trace_parent));
   span->SetTag("backend_server", command->backend_server);
+  command->trace_parent = span->TraceParent();
   this->holders->Execute(*command, request.member, [span, respond](const ExecuteAnswer& answer) {
     span->SetTag("outcome", ToString(answer.outcome));
     span->Finish();
@@ -382,7 +384,8 @@
   });
 }
 
-Proxy::Proxy(ProxySettings settings) : impl(std::make_unique<Impl>(std::move(settings))) {}
+Proxy::Proxy(ProxySettings settings, Tracer::Sink trace_sink)
+    : impl(std::make_unique<Impl>(std::move(settings), std::move(trace_sink))) {}
 
 Proxy::~Proxy() = default;
 
--- a/src/request/backend_caller.cc
+++ b/src/request/backend_caller.cc
@@ -100,10 +100,17 @@
   }
   const int weight = this->hooks.group_weight(command.caller_group);
   const std::weak_ptr<BackendCaller> guard = this->weak_from_this();
+  std::function<void(const LeaseAnswer&)> waited;
+  if (this->hooks.waiting) {
+    waited = this->hooks.waiting(command);
+  }
   pool->Acquire(
       LeaseRequest{command.caller_group, weight, deadline},
-      [guard, server = command.backend_server, deadline, granted = std::move(granted),
-       refused = std::move(refused)](const LeaseAnswer& answer) {
+      [guard, server = command.backend_server, deadline, waited = std::move(waited),
+       granted = std::move(granted), refused = std::move(refused)](const LeaseAnswer& answer) {
+        if (waited) {
+          waited(answer);
+        }
         const std::shared_ptr<BackendCaller> self = guard.lock();
         if (!self) {
           return;
