--- a/src/proxy/admin_service.cc
+++ b/src/proxy/admin_service.cc
@@ -87,8 +87,9 @@
 
 HttpResponse AdminService::ExposeMetrics() {
   Metrics& metrics = this->parts.metrics;
-  const double counted = metrics.Value(Metric::kControlCpuSeconds);
-  metrics.Increment(Metric::kControlCpuSeconds, {}, std::max(0.0, ProcessorSeconds() - counted));
+  const std::lock_guard<std::mutex> lock(this->scrape_mutex);
+  this->parts.export_counters();
+  metrics.RaiseTo(Metric::kControlCpuSeconds, {}, ProcessorSeconds());
   metrics.Set(Metric::kConcurrentRequests, {}, static_cast<double>(this->parts.entry.InProgress()));
   HttpResponse response;
   response.headers.push_back(HttpHeader{"Content-Type", "text/plain; version=0.0.4"});
@@ -100,7 +101,8 @@
   const TimePoint now = this->parts.loop.Now();
   const auto configuration = this->parts.configuration.Get();
   json members = json::array();
-  for (const Member& member : this->parts.fleet.Get()->members) {
+  const auto fleet = this->parts.fleet.Get();
+  for (const Member& member : fleet->members) {
     members.push_back({{"member", member.id},
                        {"data_centre", member.data_centre},
                        {"state", ToString(member.state)},
--- a/src/proxy/configuration_service.cc
+++ b/src/proxy/configuration_service.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "peer_body.h"
 #include "sycamoredrum/duties.h"
 
 namespace sycamoredrum {
@@ -77,7 +78,8 @@
   };
   hooks.members = [this] {
     std::vector<std::string> others;
-    for (const Member& member : this->parts.fleet.Get()->members) {
+    const auto fleet = this->parts.fleet.Get();
+    for (const Member& member : fleet->members) {
       if (member.id != this->parts.member) {
         others.push_back(member.id);
       }
@@ -109,6 +111,7 @@
 
 void ConfigurationService::HandleChange(const std::shared_ptr<const Configuration>& configuration) {
   this->parts.configuration.Set(configuration);
+  this->ObserveLag(configuration->Number());
   this->parts.metrics.Set(Metric::kConfigurationNumber, {},
                           static_cast<double>(configuration->Number()));
   this->parts.logger.Info("configuration_in_force",
@@ -125,17 +128,42 @@
 }
 
 void ConfigurationService::HandleNumber(const std::string& member, std::uint64_t number) {
-  this->context->Run([&] { this->sync->HandleNumber(member, number); });
+  this->context->Run([&] {
+    // A member may announce any number; the oldest ones are enough to measure the lag.
+    if (number > this->log.Number() && this->heard.size() < kMaxNumbersHeard) {
+      this->heard.emplace(number, this->parts.loop.Now());
+    }
+    this->sync->HandleNumber(member, number);
+  });
 }
 
-std::string ConfigurationService::AnswerTickets(const std::string& body) {
-  const nlohmann::json json = nlohmann::json::parse(body, nullptr, /*allow_exceptions=*/false);
-  std::uint64_t after = 0;
-  std::size_t limit = ConfigurationSync::kTicketsPerMessage;
-  if (json.is_object()) {
-    after = json.value("after", after);
-    limit = json.value("limit", limit);
+void ConfigurationService::ExportCounters() {
+  const ConfigurationSyncCounters counters =
+      this->context->Run([this] { return this->sync->Counters(); });
+  const std::pair<const char*, std::uint64_t> events[] = {
+      {"platform_call", counters.platform_calls}, {"platform_error", counters.platform_errors},
+      {"announcement", counters.announcements},   {"pull", counters.pulls},
+      {"failed_pull", counters.failed_pulls},
+  };
+  for (const auto& [event, total] : events) {
+    this->parts.metrics.RaiseTo(Metric::kConfigurationEvents, {event}, static_cast<double>(total));
   }
+}
+
+// Called under the context's mutex.
+void ConfigurationService::ObserveLag(std::uint64_t number) {
+  const TimePoint now = this->parts.loop.Now();
+  const auto end = this->heard.upper_bound(number);
+  for (auto entry = this->heard.begin(); entry != end; ++entry) {
+    this->parts.metrics.Observe(Metric::kConfigurationLagSeconds, {}, now - entry->second);
+  }
+  this->heard.erase(this->heard.begin(), end);
+}
+
+std::string ConfigurationService::AnswerTickets(const std::string& body) {
+  const auto after = ReadField(body, "after", std::uint64_t{0});
+  const std::size_t limit =
+      ReadField(body, "limit", std::size_t{ConfigurationSync::kTicketsPerMessage});
   const TicketsAnswer answer = this->context->Run([&] {
     return this->sync->HandlePull(after, std::min(limit, ConfigurationSync::kTicketsPerMessage));
   });
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -1,11 +1,10 @@
 #include "sycamoredrum/proxy.h"
 
 #include <absl/strings/str_cat.h>
-#include <absl/synchronization/notification.h>
 
 #include <atomic>
 #include <map>
-#include <nlohmann/json.hpp>
+#include <mutex>
 #include <random>
 #include <utility>
 
@@ -16,6 +15,7 @@
 #include "entry_service.h"
 #include "holder_registry.h"
 #include "membership_service.h"
+#include "peer_body.h"
 #include "peer_links.h"
 #include "shared_state.h"
 #include "sycamoredrum/datagram.h"
@@ -66,15 +66,14 @@
 }
 
 std::string DatabaseOf(const std::string& body) {
-  const nlohmann::json json = nlohmann::json::parse(body, nullptr, /*allow_exceptions=*/false);
-  return json.is_object() ? json.value("database", "") : "";
+  return ReadField(body, "database", std::string());
 }
 
 }  // namespace
 
 class Proxy::Impl {
  public:
-  explicit Impl(ProxySettings proxy_settings);
+  Impl(ProxySettings proxy_settings, Tracer::Sink trace_sink);
   ~Impl();
 
   bool Start(std::string& reason);
@@ -120,15 +119,16 @@
   std::unique_ptr<PeerServer> peer_server;
   std::unique_ptr<HttpServer> caller_server;
   std::unique_ptr<HttpServer> admin_server;
-  absl::Mutex refresh_mutex;  // Serialises Refresh; taken before all other locks.
+  std::mutex refresh_mutex;  // Serialises Refresh; taken before all other locks.
   std::atomic<bool> stopping{false};
 };
 
-Proxy::Impl::Impl(ProxySettings proxy_settings)
+Proxy::Impl::Impl(ProxySettings proxy_settings, Tracer::Sink trace_sink)
     : settings(std::move(proxy_settings)),
       loop(settings.workers),
       logger(settings.log_level, settings.log_format, loop, Logger::StandardError()),
-      tracer(settings.trace_sample_ratio, NextRandom, TraceSink(settings.trace_output)),
+      tracer(settings.trace_sample_ratio, NextRandom,
+             trace_sink ? std::move(trace_sink) : TraceSink(settings.trace_output)),
       client(loop, ClientOptions(settings)),
       connections(loop, ClientOptions(settings)),
       control(client),
@@ -148,7 +148,7 @@
       [this](const std::vector<std::string>& hosts) { this->SeedHosts(hosts); }});
   this->holders = std::make_unique<HolderRegistry>(
       HolderRegistry::Parts{loop, settings.member_id, configuration, fleet, leaving, connections,
-                            control, metrics, NextRandom});
+                            control, metrics, tracer, NextRandom});
   this->views = std::make_unique<ViewService>(
       ViewService::Parts{loop, settings.member_id, settings.data_centre, configuration, fleet,
                          view_table, control, call});
@@ -162,7 +162,12 @@
       loop, settings, configuration, fleet, view_table, *configuration_service, *entry, *holders,
       metrics, NextRandom,
       [this] { return !this->stopping && this->configuration_service->Ready(); },
-      [this] { this->BeginStop(); }});
+      [this] { this->BeginStop(); },
+      [this] {
+        this->membership->ExportCounters();
+        this->configuration_service->ExportCounters();
+        this->watchers->ExportCounters();
+      }});
   // Last, because it publishes the fleet at once and the other parts answer to that.
   this->membership = std::make_unique<MembershipService>(MembershipService::Parts{
       loop, settings, fleet, configuration, socket, call, metrics, logger, NextRandom,
@@ -220,13 +225,14 @@
 }
 
 void Proxy::Impl::AnswerExecute(const PeerRequest& request, const PeerRespond& respond) {
-  const std::optional<ExecuteCommand> command = ParseExecuteCommand(request.body);
+  std::optional<ExecuteCommand> command = ParseExecuteCommand(request.body);
   if (!command) {
     respond(PeerReply{"null", "bad_request", "the command cannot be read"});
     return;
   }
   auto span = std::make_shared<TraceSpan>(this->tracer.StartSpan("holder", command->trace_parent));
   span->SetTag("backend_server", command->backend_server);
+  command->trace_parent = span->TraceParent();
   this->holders->Execute(*command, request.member, [span, respond](const ExecuteAnswer& answer) {
     span->SetTag("outcome", ToString(answer.outcome));
     span->Finish();
@@ -235,26 +241,20 @@
 }
 
 void Proxy::Impl::AnswerProve(const PeerRequest& request, const PeerRespond& respond) {
-  const nlohmann::json body =
-      nlohmann::json::parse(request.body, nullptr, /*allow_exceptions=*/false);
-  if (!body.is_object()) {
-    respond(PeerReply{"null", "bad_request", "the question cannot be read"});
-    return;
-  }
   const TimePoint now = this->loop.Now();
+  const std::string database = DatabaseOf(request.body);
   const TimePoint not_before =
-      now - std::chrono::microseconds(body.value("max_age_us", std::int64_t{0}));
+      now - std::chrono::microseconds(ReadField(request.body, "max_age_us", std::int64_t{0}));
   const TimePoint deadline =
-      now + std::chrono::milliseconds(body.value("limit_ms", std::int64_t{0}));
-  const DatabaseViewPtr known = this->view_table.Get(body.value("database", ""));
+      now + std::chrono::milliseconds(ReadField(request.body, "limit_ms", std::int64_t{0}));
+  const DatabaseViewPtr known = this->view_table.Get(database);
   const bool fresh = known != nullptr && known->proof && known->proof->proven_at >= not_before;
   if (fresh) {
     respond(PeerReply{ToJson(*known, now), "", ""});
     return;
   }
   this->views->ProveLocally(
-      body.value("database", ""), not_before, deadline,
-      [this, respond](const DatabaseViewPtr& view) {
+      database, not_before, deadline, [this, respond](const DatabaseViewPtr& view) {
         if (view == nullptr) {
           respond(PeerReply{"null", "no_proof", "no proof could be made in time"});
           return;
@@ -264,7 +264,7 @@
 }
 
 void Proxy::Impl::Refresh() {
-  const absl::MutexLock lock(&this->refresh_mutex);
+  const std::lock_guard<std::mutex> lock(this->refresh_mutex);
   if (this->stopping) {
     return;
   }
@@ -350,7 +350,7 @@
   this->logger.Info("stopping", {{"member", settings.member_id}});
   this->membership->Leave();
   {
-    const absl::MutexLock lock(&this->refresh_mutex);
+    const std::lock_guard<std::mutex> lock(this->refresh_mutex);
     this->watchers->Stop();
   }
   this->caller_server->AnnounceClose();
@@ -384,7 +384,8 @@
   });
 }
 
-Proxy::Proxy(ProxySettings settings) : impl(std::make_unique<Impl>(std::move(settings))) {}
+Proxy::Proxy(ProxySettings settings, Tracer::Sink trace_sink)
+    : impl(std::make_unique<Impl>(std::move(settings), std::move(trace_sink))) {}
 
 Proxy::~Proxy() = default;
 
--- a/src/proxy/watcher_service.cc
+++ b/src/proxy/watcher_service.cc
@@ -18,9 +18,9 @@
 }  // namespace
 
 struct WatcherService::Collection {
-  absl::Mutex mutex;
-  std::size_t outstanding ABSL_GUARDED_BY(mutex) = 0;
-  std::vector<WatcherOpinion> opinions ABSL_GUARDED_BY(mutex);
+  std::mutex mutex;  // Guards the members below.
+  std::size_t outstanding = 0;
+  std::vector<WatcherOpinion> opinions;
 };
 
 WatcherService::WatcherService(Parts parts) : parts(std::move(parts)) {}
@@ -32,7 +32,7 @@
   const auto fleet = this->parts.fleet.Get();
   std::map<std::string, WatchedPtr> previous;
   {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard<std::mutex> lock(this->mutex);
     if (this->stopped) {
       return;
     }
@@ -64,9 +64,9 @@
     previous.erase(found);
   }
   for (const auto& entry : previous) {
-    StopOne(entry.second);
+    this->StopOne(entry.first, entry.second);
   }
-  const absl::MutexLock lock(&this->mutex);
+  const std::lock_guard<std::mutex> lock(this->mutex);
   this->watched = std::move(next);
 }
 
@@ -86,33 +86,63 @@
   return entry;
 }
 
-void WatcherService::StopOne(const WatchedPtr& watched) {
-  watched->context->Run([&] { watched->watcher->Stop(); });
+void WatcherService::StopOne(const std::string& database, const WatchedPtr& watched) {
+  watched->context->Run([&] {
+    watched->watcher->Stop();
+    this->ExportOne(database, *watched);
+  });
   watched->context->Close();
 }
 
-std::vector<WatcherService::WatchedPtr> WatcherService::TakeAll() {
-  const absl::MutexLock lock(&this->mutex);
+std::map<std::string, WatcherService::WatchedPtr> WatcherService::TakeAll() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
   this->stopped = true;
-  std::vector<WatchedPtr> all;
-  all.reserve(this->watched.size());
-  for (const auto& entry : this->watched) {
-    all.push_back(entry.second);
-  }
-  this->watched.clear();
-  return all;
+  return std::exchange(this->watched, {});
 }
 
 void WatcherService::Stop() {
-  for (const WatchedPtr& entry : this->TakeAll()) {
-    StopOne(entry);
+  for (const auto& [database, entry] : this->TakeAll()) {
+    this->StopOne(database, entry);
+  }
+}
+
+void WatcherService::ExportCounters() {
+  std::map<std::string, WatchedPtr> present;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    present = this->watched;
+  }
+  for (const auto& [database, entry] : present) {
+    entry->context->Run([&] { this->ExportOne(database, *entry); });
+  }
+}
+
+// Called under the watcher's mutex. A later watcher of the same database starts from zero, so the
+// differences are added.
+void WatcherService::ExportOne(const std::string& database, Watched& watched) {
+  const WatcherCounters now = watched.watcher->Counters();
+  const WatcherCounters before = std::exchange(watched.exported, now);
+  const std::pair<const char*, std::uint64_t> events[] = {
+      {"round", now.rounds - before.rounds},
+      {"suspicion", now.suspicions - before.suspicions},
+      {"held_back", now.held_back - before.held_back},
+      {"attempt", now.attempts - before.attempts},
+      {"refused", now.refused - before.refused},
+      {"no_majority", now.no_majority - before.no_majority},
+      {"timeout", now.timeouts - before.timeouts},
+      {"follow", now.follows - before.follows},
+      {"pause", now.pauses - before.pauses},
+  };
+  for (const auto& [event, count] : events) {
+    this->parts.metrics.Increment(Metric::kWatcherEvents, {database, event},
+                                  static_cast<double>(count));
   }
 }
 
 std::string WatcherService::Opinion(const std::string& database) {
   WatchedPtr entry;
   {
-    const absl::MutexLock lock(&this->mutex);
+    const std::lock_guard<std::mutex> lock(this->mutex);
     const auto found = this->watched.find(database);
     if (found == this->watched.end()) {
       return "{}";
@@ -130,36 +160,53 @@
   return found == nullptr ? nullptr : &found->control;
 }
 
+void WatcherService::PostNoStatus(const std::shared_ptr<SerialContext>& context,
+                                  PromotionHooks::StatusCallback callback) {
+  this->parts.loop.Post([wrapped = context->Wrap(std::move(callback))] { wrapped(std::nullopt); });
+}
+
 PromotionHooks WatcherService::MakeControlHooks(const std::string& database,
                                                 const std::shared_ptr<SerialContext>& context) {
   PromotionHooks hooks;
   hooks.fence = [this, database, context](const std::string& server, std::uint64_t term,
                                           const std::string& proposer, auto callback) {
     std::shared_ptr<const DatabaseConfig> config;
-    if (const Endpoint* control = this->ControlOf(database, server, config)) {
-      this->parts.control.Fence(*control, term, proposer, context->Wrap(std::move(callback)));
+    const Endpoint* control = this->ControlOf(database, server, config);
+    if (control == nullptr) {
+      this->PostNoStatus(context, std::move(callback));
+      return;
     }
+    this->parts.control.Fence(*control, term, proposer, context->Wrap(std::move(callback)));
   };
   hooks.promote = [this, database, context](const std::string& server, std::uint64_t term,
                                             const std::string& proposer, auto callback) {
     std::shared_ptr<const DatabaseConfig> config;
-    if (const Endpoint* control = this->ControlOf(database, server, config)) {
-      this->parts.control.Promote(*control, term, proposer, context->Wrap(std::move(callback)));
+    const Endpoint* control = this->ControlOf(database, server, config);
+    if (control == nullptr) {
+      this->PostNoStatus(context, std::move(callback));
+      return;
     }
+    this->parts.control.Promote(*control, term, proposer, context->Wrap(std::move(callback)));
   };
   hooks.follow = [this, database, context](const std::string& server, std::uint64_t term,
                                            const std::string& primary, auto callback) {
     std::shared_ptr<const DatabaseConfig> config;
-    if (const Endpoint* control = this->ControlOf(database, server, config)) {
-      this->parts.control.Follow(*control, term, primary, context->Wrap(std::move(callback)));
+    const Endpoint* control = this->ControlOf(database, server, config);
+    if (control == nullptr) {
+      this->PostNoStatus(context, std::move(callback));
+      return;
     }
+    this->parts.control.Follow(*control, term, primary, context->Wrap(std::move(callback)));
   };
   hooks.status = [this, database, context](const std::string& server, auto callback) {
     std::shared_ptr<const DatabaseConfig> config;
-    if (const Endpoint* control = this->ControlOf(database, server, config)) {
-      this->parts.control.Status(*control, BackendControl::kCallTimeout,
-                                 context->Wrap(std::move(callback)));
+    const Endpoint* control = this->ControlOf(database, server, config);
+    if (control == nullptr) {
+      this->PostNoStatus(context, std::move(callback));
+      return;
     }
+    this->parts.control.Status(*control, BackendControl::kCallTimeout,
+                               context->Wrap(std::move(callback)));
   };
   return hooks;
 }
@@ -173,6 +220,7 @@
     std::shared_ptr<const DatabaseConfig> config;
     const Endpoint* control = this->ControlOf(database, server, config);
     if (control == nullptr) {
+      this->PostNoStatus(context, std::move(callback));
       return;
     }
     auto wrapped = context->Wrap(std::move(callback));
@@ -214,7 +262,7 @@
   }
   auto collection = std::make_shared<Collection>();
   {
-    const absl::MutexLock lock(&collection->mutex);
+    const std::lock_guard<std::mutex> lock(collection->mutex);
     collection->outstanding = others.size();
   }
   const std::string body = nlohmann::json({{"database", database}}).dump();
@@ -223,7 +271,7 @@
                      [collection, callback](const PeerAnswer& reply) {
                        std::vector<WatcherOpinion> all;
                        {
-                         const absl::MutexLock lock(&collection->mutex);
+                         const std::lock_guard<std::mutex> lock(collection->mutex);
                          if (reply.error == PeerError::kNone) {
                            if (auto opinion = ParseWatcherOpinion(reply.body)) {
                              collection->opinions.push_back(std::move(*opinion));
--- a/src/proxy/watcher_service.h
+++ b/src/proxy/watcher_service.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,9 @@
   /// Stops all watchers; the other members of the fleet take over.
   void Stop();
 
+  /// Brings the counters of the watchers up to date for a scrape.
+  void ExportCounters();
+
   /// JSON form of the opinion of this process's watcher, or "{}" if it does not watch `database`.
   std::string Opinion(const std::string& database);
 
@@ -53,7 +57,7 @@
     std::shared_ptr<SerialContext> context;
     std::shared_ptr<const DatabaseConfig> config;
     std::unique_ptr<DatabaseWatcher> watcher;
-    WatcherAssignment assignment;
+    WatcherCounters exported;  ///< Part of the watcher's counters that the metrics contain.
   };
   using WatchedPtr = std::shared_ptr<Watched>;
 
@@ -61,7 +65,8 @@
   struct Collection;
 
   WatchedPtr Start(std::shared_ptr<const DatabaseConfig> config, WatcherAssignment assignment);
-  static void StopOne(const WatchedPtr& watched);
+  void StopOne(const std::string& database, const WatchedPtr& watched);
+  void ExportOne(const std::string& database, Watched& watched);
   WatcherHooks MakeHooks(const std::string& database,
                          const std::shared_ptr<SerialContext>& context);
   PromotionHooks MakeControlHooks(const std::string& database,
@@ -71,14 +76,17 @@
   void HandleRound(const std::string& database, const std::vector<BackendServerView>& servers,
                    TimePoint round_started);
   void HandleGap(const std::string& database, const FailoverGap& gap);
+  /// Answers a control call on a backend server that the configuration does not contain.
+  void PostNoStatus(const std::shared_ptr<SerialContext>& context,
+                    PromotionHooks::StatusCallback callback);
   const Endpoint* ControlOf(const std::string& database, const std::string& server,
                             std::shared_ptr<const DatabaseConfig>& config) const;
-  std::vector<WatchedPtr> TakeAll();
+  std::map<std::string, WatchedPtr> TakeAll();
 
   Parts parts;
-  absl::Mutex mutex;  // Taken before no other lock.
-  std::map<std::string, WatchedPtr> watched ABSL_GUARDED_BY(mutex);
-  bool stopped ABSL_GUARDED_BY(mutex) = false;
+  std::mutex mutex;  // Guards the members below; no other lock is taken inside it.
+  std::map<std::string, WatchedPtr> watched;
+  bool stopped = false;
 };
 
 }  // namespace sycamoredrum
