Keep structured bindings out of a lambda in WatcherService

Cause: C++17 does not allow a lambda to capture a structured binding; GCC accepts it, clang-tidy reports an error.

Change: the loop names the map's entry. clang-tidy prints no warning for the file; the demo and proxy_concurrent_test pass under ThreadSanitizer.

--- a/src/proxy/watcher_service.cc
+++ b/src/proxy/watcher_service.cc
@@ -112,8 +112,8 @@
     const std::lock_guard<std::mutex> lock(this->mutex);
     present = this->watched;
   }
-  for (const auto& [database, entry] : present) {
-    entry->context->Run([&] { this->ExportOne(database, *entry); });
+  for (const auto& entry : present) {
+    entry.second->context->Run([&] { this->ExportOne(entry.first, *entry.second); });
   }
 }
 
