Detect the byte order before the first peer frame

Cause: websocketpp stores the byte order in a static variable without a lock when it first converts a length, so two links that sent their first frames at the same time raced.

Change: PeerServer and PeerLink detect it in their constructors.

Measured under ThreadSanitizer: proxy_service_test gave this report in 1 of 2 runs before, and none in 3 runs after (4 of 4 tests passed each time).

--- a/src/net/peer_link.cc
+++ b/src/net/peer_link.cc
@@ -382,6 +382,7 @@
 PeerLink::PeerLink(EventLoop& loop, PeerIdentity identity, PeerOptions options,
                    const Endpoint& endpoint)
     : state(std::make_shared<State>(loop, std::move(identity), options, endpoint)) {
+  DetectByteOrder();
   this->state->client.clear_access_channels(websocketpp::log::alevel::all);
   this->state->client.clear_error_channels(websocketpp::log::elevel::all);
   this->state->client.init_asio(&loop.Internal().io);
--- a/src/net/peer_server.cc
+++ b/src/net/peer_server.cc
@@ -294,6 +294,7 @@
 PeerServer::PeerServer(EventLoop& loop, PeerIdentity identity, PeerOptions options,
                        std::map<std::string, PeerHandler> handlers)
     : state(std::make_shared<State>(loop, std::move(identity), options, std::move(handlers))) {
+  DetectByteOrder();
   PeerWebsocketServer& endpoint = this->state->endpoint;
   endpoint.clear_access_channels(websocketpp::log::alevel::all);
   endpoint.clear_error_channels(websocketpp::log::elevel::all);
--- a/src/net/peer_websocket.h
+++ b/src/net/peer_websocket.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <cstdint>
 #include <utility>
 #include <websocketpp/client.hpp>
 #include <websocketpp/config/asio_no_tls.hpp>
@@ -33,6 +34,13 @@
 using PeerWebsocketServer = websocketpp::server<PeerServerConfig>;
 using PeerWebsocketClient = websocketpp::client<PeerClientConfig>;
 
+/// Must be called before the first frame is sent. The library stores the byte order of the machine
+/// in a variable without a lock when it first converts a length.
+inline void DetectByteOrder() {
+  static const std::uint64_t detected = websocketpp::lib::net::_htonll(0);
+  static_cast<void>(detected);
+}
+
 /// Runs `action` on the strand of `connection`. Sending and closing go through here because the
 /// library's count of the bytes that wait to be sent is not protected by a lock.
 template <typename ConnectionPointer, typename Action>
