Tell a session once that its position is lost, not for ever

Cause: a read with a proof stores the position served. If that position was not acknowledged yet and a failover loses it, every later read of the session was refused, and a caller that keeps cookies had no way out. Change: the answer with session_position_lost carries a token without the position that marks the database as uncertain; the next read is proven complete as of its arrival. Conclusion: the refusal is reported once and the session goes on.

--- a/src/include/sycamoredrum/request_executor.h
+++ b/src/include/sycamoredrum/request_executor.h
@@ -107,7 +107,8 @@
 /// the position read, and by a write at a larger position unless the answer is a duplicate: a
 /// recorded position may be older than other writes of the session. A read is refused with
 /// kSessionPositionLost if the primary's history, in the term of the session's position or a later
-/// one, excludes that position.
+/// one, excludes that position. The token in that answer marks the database as uncertain instead,
+/// so that a caller that keeps cookies is told once and not refused for ever.
 class RequestExecutor {
  public:
   RequestExecutor(std::string local_data_centre, RequestExecutorHooks hooks, const Clock& clock,
--- a/src/include/sycamoredrum/session_token.h
+++ b/src/include/sycamoredrum/session_token.h
@@ -39,6 +39,10 @@
   /// replaces the mark of the database.
   SessionToken With(const std::string& database, const LogPosition& position, bool uncertain) const;
 
+  /// Token that no longer requires a position in `database` and marks it as uncertain. For a
+  /// position that is not in the database's history any more, after the caller has been told.
+  SessionToken WithoutPosition(const std::string& database) const;
+
   /// Token that requires all that `a` and `b` require.
   static SessionToken Merge(const SessionToken& a, const SessionToken& b);
 
--- a/src/request/request_executor_read.cc
+++ b/src/request/request_executor_read.cc
@@ -75,9 +75,10 @@
     return;
   }
   if (PositionIsLost(*call->view, call->Required().position)) {
+    const std::string position = call->Required().position.ToString();
+    call->session = call->session.WithoutPosition(call->request.database);
     this->Refuse(call, Reason::kSessionPositionLost,
-                 "position " + call->Required().position.ToString() +
-                     " of the session is not in the present history");
+                 "position " + position + " of the session is not in the present history");
     return;
   }
   if (call->request.step == TransactionStep::kBegin) {
--- a/src/request/request_executor_test.cc
+++ b/src/request/request_executor_test.cc
@@ -270,8 +270,15 @@
   Bench lost;
   lost.term = 2;
   read.session = SessionToken().With("d", {1, 17}, false);
-  EXPECT_EQ(lost.Run(read).answer.reason, Reason::kSessionPositionLost);
+  const RequestAnswer refusal = lost.Run(read);
+  EXPECT_EQ(refusal.answer.reason, Reason::kSessionPositionLost);
   EXPECT_TRUE(lost.sent.empty());
+  // Guards against a session that is refused for ever after a failover.
+  read.session = refusal.session;
+  lost.script = {{Result()}};
+  EXPECT_TRUE(read.session->For("d").uncertain);
+  EXPECT_EQ(lost.Run(read).answer.outcome, Outcome::kResult);
+  EXPECT_GT(lost.proofs_asked, 0);
 }
 
 // Guards against a step of a transaction that runs twice, and against a commit or a statement that
--- a/src/session/session_token.cc
+++ b/src/session/session_token.cc
@@ -43,6 +43,14 @@
   return token.positions.size() > kMaxDatabases ? ExceededToken() : token;
 }
 
+SessionToken SessionToken::WithoutPosition(const std::string& database) const {
+  SessionToken token = *this;
+  if (!this->exceeded) {
+    token.positions[database] = SessionPosition{LogPosition(), true};
+  }
+  return token;
+}
+
 SessionToken SessionToken::Merge(const SessionToken& a, const SessionToken& b) {
   if (a.exceeded || b.exceeded) {
     return ExceededToken();
