Give an outcome in refusals that the HTTP server makes itself

Cause: answers with 400, 413 and 431 had only a reason and a message, although every answer to a caller has one outcome. Change: they say "not_run", because the handler never saw the request; the 500 for a handler without a response says "unknown". Measured: the table of malformed requests checks the outcome of every answer; net_http_test passes. Conclusion: these answers still carry no trace id, because no span exists for them.

--- a/src/include/sycamoredrum/http.h
+++ b/src/include/sycamoredrum/http.h
@@ -92,7 +92,8 @@
 };
 
 /// HTTP/1.1 server with keep-alive. Malformed requests get status 400, too large bodies 413 and too
-/// large headers 431, each with a JSON body {"reason", "message"}, and the connection is closed.
+/// large headers 431, each with a JSON body {"outcome": "not_run", "reason", "message"}, and the
+/// connection is closed.
 ///
 /// Thread-safe. One mutex, which is never held while a hook runs and inside which no other lock is
 /// taken. Destroy the server after Shutdown has reported the end or after EventLoop::Join.
--- a/src/net/http_session.cc
+++ b/src/net/http_session.cc
@@ -33,7 +33,8 @@
   ~Responder() {
     HttpResponse response;
     response.status = 500;
-    response.body = R"({"reason":"no_response","message":"the handler gave no response"})";
+    response.body = R"({"outcome":"unknown","reason":"no_response",)"
+                    R"("message":"the handler gave no response"})";
     this->Send(std::move(response));
   }
   Responder(const Responder&) = delete;
@@ -53,10 +54,12 @@
   std::atomic<bool> used{false};
 };
 
+// Refusal of a request that was not handed to the handler.
 HttpResponse ErrorResponse(int status, const std::string& reason, const std::string& message) {
   HttpResponse response;
   response.status = status;
-  response.body = nlohmann::json{{"reason", reason}, {"message", message}}.dump();
+  response.body =
+      nlohmann::json{{"outcome", "not_run"}, {"reason", reason}, {"message", message}}.dump();
   response.close = true;
   return response;
 }
--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -112,6 +112,8 @@
     const std::string answer = socket.ReceiveUntil("");
     EXPECT_NE(answer.find(c.answer), std::string::npos) << c.name << ": " << answer;
     EXPECT_EQ(answer.empty(), std::string(c.answer).empty()) << c.name << ": " << answer;
+    const bool says_not_run = answer.find(R"("outcome":"not_run")") != std::string::npos;
+    EXPECT_EQ(says_not_run, !answer.empty()) << c.name << ": " << answer;
   }
   EXPECT_EQ(this->handled, 0);
   const HttpServerStats stats = this->server->Stats();
