Find the server of a position wait without scanning all databases

Cause: each wait for a copy of a write searched every database of the configuration for the id of the backend server, 5,300 look-ups at the two-year size on the path of each write. Change: the hook gets the server's configuration, which the confirmation already has. The time at the two-year size was not measured. Conclusion: the cost of a wait no longer depends on the number of databases.

--- a/src/include/sycamoredrum/holder_service.h
+++ b/src/include/sycamoredrum/holder_service.h
@@ -39,8 +39,8 @@
   std::function<void(ConnectionId, const BackendRequest&, Duration timeout, BackendCallback)>
       execute;
   /// Asks a backend server to answer once it contains a position; it may also answer earlier.
-  std::function<void(const std::string& backend_server, const LogPosition&, Duration timeout,
-                     WaitCallback)>
+  std::function<void(const BackendServerConfig& backend_server, const LogPosition&,
+                     Duration timeout, WaitCallback)>
       wait_position;
   /// Optional. Called before a request waits for a connection; the returned function is called with
   /// the end of the wait.
--- a/src/proxy/holder_registry.cc
+++ b/src/proxy/holder_registry.cc
@@ -36,28 +36,17 @@
     this->ExecuteOnConnection(connection, request, timeout, std::move(callback));
   };
   hooks.waiting = [this](const ExecuteCommand& command) { return this->ObserveWait(command); };
-  hooks.wait_position = [this](const std::string& id, const LogPosition& position, Duration timeout,
-                               WaitCallback callback) {
-    const auto configuration = this->parts.configuration.Get();
-    for (const auto& entry : configuration->Databases()) {
-      const BackendServerConfig* server = entry.second.FindBackendServer(id);
-      if (server == nullptr) {
-        continue;
-      }
-      auto wrapped = this->context->Wrap(std::move(callback));
-      this->parts.control.Wait(
-          server->control, position, timeout,
-          [wrapped](const std::optional<PositionAnswer>& answer) {
-            std::optional<WaitReply> reply;
-            if (answer) {
-              reply = WaitReply{answer->contains, answer->not_in_history, answer->promised_term};
-            }
-            wrapped(reply);
-          });
-      return;
-    }
-    this->parts.loop.Post(
-        [wrapped = this->context->Wrap(std::move(callback))] { wrapped(std::nullopt); });
+  hooks.wait_position = [this](const BackendServerConfig& server, const LogPosition& position,
+                               Duration timeout, WaitCallback callback) {
+    auto wrapped = this->context->Wrap(std::move(callback));
+    this->parts.control.Wait(
+        server.control, position, timeout, [wrapped](const std::optional<PositionAnswer>& answer) {
+          std::optional<WaitReply> reply;
+          if (answer) {
+            reply = WaitReply{answer->contains, answer->not_in_history, answer->promised_term};
+          }
+          wrapped(reply);
+        });
   };
   return hooks;
 }
--- a/src/request/holder_test_group.h
+++ b/src/request/holder_test_group.h
@@ -73,9 +73,9 @@
                            BackendCallback callback) {
       this->Execute(connection, request, timeout, std::move(callback));
     };
-    hooks.wait_position = [this](const std::string& id, const LogPosition& position,
+    hooks.wait_position = [this](const BackendServerConfig& server, const LogPosition& position,
                                  Duration timeout, WaitCallback callback) {
-      this->Wait(id, position, this->clock.Now() + timeout, std::move(callback));
+      this->Wait(server.id, position, this->clock.Now() + timeout, std::move(callback));
     };
     return hooks;
   }
--- a/src/request/write_confirmation.cc
+++ b/src/request/write_confirmation.cc
@@ -60,7 +60,7 @@
       return;
     }
     auto answered = std::make_shared<bool>(false);
-    this->wait_position(server, position, remaining,
+    this->wait_position(*this->write.database.FindBackendServer(server), position, remaining,
                         [self = this->shared_from_this(), server, position,
                          answered](const std::optional<WaitReply>& reply) {
                           if (!std::exchange(*answered, true)) {
