--- a/src/routing/read_router.cc
+++ b/src/routing/read_router.cc
@@ -12,8 +12,8 @@
 
 constexpr int kWaitShareOfRemaining = 3;
 
-// Assumed speed of a replica's catch-up, not measured. A replica that is slower answers `behind`
-// after the wait, which costs time only.
+// Assumed speed of a replica's catch-up. A replica that is slower answers `behind` after the wait,
+// which costs time only.
 constexpr std::uint64_t kAppliedEntriesPerMillisecond = 10;
 
 constexpr std::array<std::pair<PrimaryReason, std::string_view>, 5> kReasonNames = {{
