--- a/src/proxy/locks.h
+++ b/src/proxy/locks.h
@@ -12,10 +12,10 @@
 /// Runs everything that touches one decision object under one mutex: timers, answers to its hooks,
 /// and calls from other parts of the daemon.
 ///
-/// Lock order of the daemon: the mutex of Proxy's Refresh, then that of WatcherService, then at most
-/// one SerialContext's mutex. Code that holds the latter may take these, each for a few lines and
-/// one at a time: the mutexes of Snapshot, ViewTable, PeerLinks, Logger, Metrics and the classes of
-/// the library net. To call another context's object, code posts to the event loop.
+/// Lock order of the daemon: the mutex of Proxy's Refresh, then that of WatcherService, then at
+/// most one SerialContext's mutex. Code that holds the latter may take these, each for a few lines
+/// and one at a time: the mutexes of Snapshot, ViewTable, PeerLinks, Logger, Metrics and the
+/// classes of the library net. To call another context's object, code posts to the event loop.
 ///
 /// The daemon uses std::mutex: ThreadSanitizer does not see the locks of a libabsl that was built
 /// without it, and reports accesses under absl::Mutex as races.
