Store the record of a discovered primary before granting it

Ruled out: an expired grant in use (grants of the other databases ended on time), a late promotion call of the first leader (it made none).

--- a/src/include/sycamoredrum/primary_authority.h
+++ b/src/include/sycamoredrum/primary_authority.h
@@ -186,6 +186,7 @@
     PrimaryRecord record;
     std::uint64_t record_revision = 0;
     bool planned = false;           ///< The old primary runs; nothing of its log may be lost.
+    bool discovered = false;        ///< `target` was found to lead; there is no record yet.
     bool resume_promotion = false;  ///< The record was found without confirmation.
     TimePoint phase_started;
     TimePoint last_answer;  ///< When the primary last answered anyone.
@@ -228,7 +229,10 @@
   void Select(const std::string& name, Database& database);
   void Choose(const std::string& name, Database& database, const std::string& target);
   void GiveUpHandOver(const std::string& name, Database& database);
-  void Record(const std::string& name, Database& database, bool serving);
+  void Record(const std::string& name, Database& database);
+  void OnRecord(const std::string& name, Database& database, const PrimaryRecord& record,
+                PlatformStatus status, std::uint64_t revision);
+  void StoreServing(const std::string& name, const Database& database);
   void Promote(const std::string& name, Database& database);
   void OnPromote(const std::string& name, Database& database, PromoteOutcome outcome);
   void Confirm(const std::string& name, Database& database);
--- a/src/leader/primary_authority.cc
+++ b/src/leader/primary_authority.cc
@@ -233,7 +233,7 @@
         this->Select(name, database);
         break;
       case Phase::kRecord:
-        this->Record(name, database, false);
+        this->Record(name, database);
         break;
       case Phase::kPromote:
         this->Promote(name, database);
@@ -302,11 +302,12 @@
     }
   }
   if (best != nullptr) {
+    // Nothing is granted before the record is stored: a later leader must find the generation that
+    // it has to revoke.
     database.target = *best;
-    database.record = PrimaryRecord{*best, 1, true};
-    this->Record(name, database, true);
-    this->Enter(name, database, Phase::kServing);
-    this->hooks.nudge();
+    database.discovered = true;
+    this->Enter(name, database, Phase::kRecord);
+    this->Record(name, database);
     return;
   }
   // No server leads: all answers say so, or the wait for the others is over.
@@ -617,7 +618,7 @@
        {"newest_observed", database.newest ? database.newest->position.ToString() : "unknown"}});
   database.target = target;
   this->Enter(name, database, Phase::kRecord);
-  this->Record(name, database, false);
+  this->Record(name, database);
 }
 
 void PrimaryAuthority::GiveUpHandOver(const std::string& name, Database& database) {
@@ -627,47 +628,72 @@
   // The generation was given back by all members, so the grants resume under a new one.
   database.target = database.record.server;
   this->Enter(name, database, Phase::kRecord);
-  this->Record(name, database, false);
+  this->Record(name, database);
 }
 
-void PrimaryAuthority::Record(const std::string& name, Database& database, bool serving) {
+// Stores the next generation. A server that was found to lead may serve at once; one that was
+// chosen must be promoted first.
+void PrimaryAuthority::Record(const std::string& name, Database& database) {
   const TimePoint now = this->clock.Now();
   if (database.call_under_way || now < database.next_call) {
     return;
   }
   database.call_under_way = true;
-  const PrimaryRecord record{database.target, database.record.generation + (serving ? 0 : 1),
-                             serving};
+  const PrimaryRecord record{database.target, database.record.generation + 1, database.discovered};
   this->hooks.store_record(
       name, record, database.record_revision,
-      [this, name, record, serving, step = database.step, weak = std::weak_ptr<bool>(this->alive)](
+      [this, name, record, step = database.step, weak = std::weak_ptr<bool>(this->alive)](
           PlatformStatus status, std::uint64_t revision) {
+        Database* current = weak.expired() ? nullptr : this->AtStep(name, step);
+        if (current != nullptr) {
+          this->OnRecord(name, *current, record, status, revision);
+        }
+      });
+}
+
+void PrimaryAuthority::OnRecord(const std::string& name, Database& database,
+                                const PrimaryRecord& record, PlatformStatus status,
+                                std::uint64_t revision) {
+  database.call_under_way = false;
+  if (status != PlatformStatus::kOk) {
+    if (status == PlatformStatus::kConflict && revision > 0) {
+      // Only this process writes the record, so an earlier write of its own took effect.
+      database.record_revision = revision;
+    }
+    this->logger.Warning("primary_record_failed",
+                         {{"database", name},
+                          {"server", record.server},
+                          {"generation", absl::StrCat(record.generation)}});
+    database.next_call = this->clock.Now() + kProbeInterval;
+    return;
+  }
+  database.record = record;
+  database.record_revision = revision;
+  database.newest.reset();
+  if (std::exchange(database.discovered, false)) {
+    this->Enter(name, database, Phase::kServing);
+    this->hooks.nudge();
+    return;
+  }
+  this->Enter(name, database, Phase::kPromote);
+  this->Promote(name, database);
+}
+
+// Spares a later leader the repetition of the promotion; nothing depends on it.
+void PrimaryAuthority::StoreServing(const std::string& name, const Database& database) {
+  this->hooks.store_record(
+      name, database.record, database.record_revision,
+      [this, name, generation = database.record.generation,
+       weak = std::weak_ptr<bool>(this->alive)](PlatformStatus status, std::uint64_t revision) {
         if (weak.expired()) {
           return;
         }
         const auto found = this->databases.find(name);
-        if (status == PlatformStatus::kOk && found != this->databases.end()) {
-          found->second.record_revision = std::max(found->second.record_revision, revision);
+        const bool current =
+            found != this->databases.end() && found->second.record.generation == generation;
+        if (current && status == PlatformStatus::kOk) {
+          found->second.record_revision = revision;
         }
-        Database* current = this->AtStep(name, step);
-        if (current == nullptr || serving) {
-          return;
-        }
-        current->call_under_way = false;
-        if (status == PlatformStatus::kConflict && revision > 0) {
-          // Only this process writes the record, so an earlier write of its own took effect.
-          current->record_revision = revision;
-        }
-        if (status != PlatformStatus::kOk) {
-          this->logger.Warning("primary_record_failed",
-                               {{"database", name}, {"server", record.server}});
-          current->next_call = this->clock.Now() + kProbeInterval;
-          return;
-        }
-        current->record = record;
-        current->newest.reset();
-        this->Enter(name, *current, Phase::kPromote);
-        this->Promote(name, *current);
       });
 }
 
@@ -751,8 +777,7 @@
   database.record.serving = true;
   database.hand_over_not_before = this->clock.Now() + kHandOverPause;
   this->Enter(name, database, Phase::kServing);
-  this->Record(name, database, true);
-  database.call_under_way = false;
+  this->StoreServing(name, database);
   this->hooks.nudge();
 }
 
