Test the relay, the leader and the platform's adapter; mend three faults that the tests found

The leader steps down and takes over again. - A planned change without recent traffic never learned the end of the old primary's log and was given up. The old primary is asked once nobody may write.

--- a/src/include/sycamoredrum/primary_authority.h
+++ b/src/include/sycamoredrum/primary_authority.h
@@ -32,6 +32,7 @@
 /// What a member knows of one database, in times of the leader's clock.
 struct DatabaseReport {
   std::uint64_t generation = 0;               ///< Generation of the grant that it holds.
+  std::uint64_t revoked_generation = 0;       ///< It takes no grant up to this generation.
   std::optional<PositionObservation> newest;  ///< Newest position of the primary's log.
   std::optional<TimePoint> answered_at;       ///< When the primary last answered it.
   std::optional<TimePoint> failing_since;     ///< Since when the primary has not answered it.
@@ -218,6 +219,7 @@
   bool MayHandOver(const Database& database) const;
   bool ShouldHandOver(const Database& database) const;
   std::size_t MembersMissing(const std::string& server) const;
+  void RenewGeneration(const std::string& name, Database& database);
   void Replace(const std::string& name, Database& database, bool planned,
                const std::string& reason);
   void AwaitAllMembers(Database& database) const;
@@ -226,6 +228,8 @@
                     bool acknowledged, const std::optional<LogPosition>& newest);
   void CheckRevocations(const std::string& name, Database& database);
   void ProbeCandidates(const std::string& name, Database& database);
+  void OnCandidate(const std::string& name, std::uint64_t replacement, const std::string& server,
+                   const BackendProbe& probe);
   void Select(const std::string& name, Database& database);
   void Choose(const std::string& name, Database& database, const std::string& target);
   void GiveUpHandOver(const std::string& name, Database& database);
--- a/src/include/sycamoredrum/primary_grants.h
+++ b/src/include/sycamoredrum/primary_grants.h
@@ -52,6 +52,9 @@
   /// expired and its revocation has not been acknowledged.
   bool StillValid(const std::string& database, std::uint64_t generation) const;
 
+  /// Grants of `database` up to this generation are refused; 0 if none was revoked.
+  std::uint64_t RevokedGeneration(const std::string& database) const;
+
   std::uint64_t Epoch() const { return this->epoch; }
 
  private:
--- a/src/leader/leadership.cc
+++ b/src/leader/leadership.cc
@@ -37,8 +37,12 @@
 
 void Leadership::KeyChanged(const std::optional<KeyValue>& item) {
   this->key = item;
-  const bool own = item && item->value == this->options.value;
-  if (this->phase == Phase::kLeading && !own) {
+  // A late write of an earlier candidacy has the same value, but another revision. Members know the
+  // leader by the revision.
+  const bool own =
+      item && item->value == this->options.value && item->revision == this->epoch;
+  const bool outdated = item && item->revision < this->epoch;
+  if (this->phase == Phase::kLeading && !own && !outdated) {
     this->StepDown("the leader's key was removed or taken by another process");
   }
   this->Consider();
@@ -188,6 +192,10 @@
     this->BecomeLeader(own->revision, sent);
     return;
   }
+  if (own->revision != this->epoch) {
+    this->StepDown("the leader's key was written again");
+    return;
+  }
   this->deadline = std::max(this->deadline, sent + this->options.lease);
   this->Later(this->options.renew_interval, [this] { this->Renew(); });
 }
--- a/src/leader/primary_authority.cc
+++ b/src/leader/primary_authority.cc
@@ -164,10 +164,17 @@
   }
   for (const auto& [name, state] : report.databases) {
     const auto known = this->databases.find(name);
-    if (known == this->databases.end() || state.generation != known->second.record.generation) {
+    if (known == this->databases.end()) {
       continue;
     }
     Database& database = known->second;
+    if (database.phase == Phase::kServing &&
+        state.revoked_generation >= database.record.generation) {
+      this->RenewGeneration(name, database);
+    }
+    if (state.generation != database.record.generation) {
+      continue;
+    }
     if (state.answered_at && *state.answered_at > database.last_answer) {
       database.last_answer = *state.answered_at;
       database.refusals = 0;
@@ -434,6 +441,15 @@
   });
 }
 
+// A former leader revoked the generation and could not finish the change. The server stays, under a
+// generation that members accept.
+void PrimaryAuthority::RenewGeneration(const std::string& name, Database& database) {
+  database.target = database.record.server;
+  database.discovered = true;
+  this->Enter(name, database, Phase::kRecord);
+  this->Record(name, database);
+}
+
 void PrimaryAuthority::Replace(const std::string& name, Database& database, bool planned,
                                const std::string& reason) {
   this->logger.Info("primary_replacement",
@@ -529,28 +545,41 @@
   this->Select(name, database);
 }
 
-// Asks the other servers of the database for the end of their log. Answers that arrive while the
-// members are still asked for their grants are kept for the selection.
+// Asks the servers of the database for the end of their log; the old primary only if it still runs.
+// Answers that arrive while the members are still asked for their grants are kept for the
+// selection.
 void PrimaryAuthority::ProbeCandidates(const std::string& name, Database& database) {
   database.next_call = this->clock.Now() + kProbeInterval;
   for (const BackendServerRecord* server : this->ServersOf(name)) {
-    if (server->id == database.old_server) {
+    if (server->id == database.old_server && !database.planned) {
       continue;
     }
-    this->hooks.probe(
-        *server, [this, name, id = server->id, replacement = database.replacement,
-                  weak = std::weak_ptr<bool>(this->alive)](const BackendProbe& probe) {
-          if (weak.expired()) {
-            return;
-          }
-          const auto found = this->databases.find(name);
-          const bool current =
-              found != this->databases.end() && found->second.replacement == replacement &&
-              (found->second.phase == Phase::kRevoke || found->second.phase == Phase::kSelect);
-          if (current) {
-            found->second.candidates[id] = probe;
-          }
-        });
+    this->hooks.probe(*server,
+                      [this, name, id = server->id, replacement = database.replacement,
+                       weak = std::weak_ptr<bool>(this->alive)](const BackendProbe& probe) {
+                        if (!weak.expired()) {
+                          this->OnCandidate(name, replacement, id, probe);
+                        }
+                      });
+  }
+}
+
+void PrimaryAuthority::OnCandidate(const std::string& name, std::uint64_t replacement,
+                                   const std::string& server, const BackendProbe& probe) {
+  const auto found = this->databases.find(name);
+  if (found == this->databases.end() || found->second.replacement != replacement) {
+    return;
+  }
+  Database& database = found->second;
+  if (database.phase != Phase::kRevoke && database.phase != Phase::kSelect) {
+    return;
+  }
+  if (server != database.old_server) {
+    database.candidates[server] = probe;
+  } else if (probe.outcome == ProbeOutcome::kAnswered) {
+    // Nobody may write any more, so this is the end of its log.
+    database.final_position =
+        std::max(database.final_position.value_or(LogPosition{}), probe.received);
   }
 }
 
--- /dev/null
+++ b/src/relay/relay_parts_test.cc
@@ -0,0 +1,172 @@
+#include <gtest/gtest.h>
+
+#include "read_placement.h"
+#include "sycamoredrum/freshness_window.h"
+#include "sycamoredrum/manual_clock.h"
+#include "sycamoredrum/primary_grants.h"
+#include "sycamoredrum/server_directory.h"
+
+namespace sycamoredrum {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TimePoint At(int ms) { return TimePoint(std::chrono::hours(1)) + milliseconds(ms); }
+
+TEST(FreshnessWindowTest, ReturnsTheOldestObservationInTime) {
+  FreshnessWindow window;
+  for (int i = 0; i < 20; ++i) {
+    window.Observe(1, {LogPosition{1, static_cast<std::uint64_t>(i + 1)}, At(i * 100)});
+  }
+  const auto position = window.OldestSince(At(550));
+  ASSERT_TRUE(position);
+  EXPECT_EQ(position->index, 7U);
+  EXPECT_FALSE(window.OldestSince(At(1950)));
+}
+
+// Guards against positions that a promotion removed from the log.
+TEST(FreshnessWindowTest, ANewGenerationDiscardsEarlierPositions) {
+  FreshnessWindow window;
+  window.Observe(1, {LogPosition{1, 50}, At(0)});
+  window.StartGeneration(2);
+  EXPECT_FALSE(window.OldestSince(At(0)));
+  window.Observe(1, {LogPosition{1, 60}, At(10)});
+  EXPECT_FALSE(window.Newest());
+}
+
+TEST(FreshnessWindowTest, FrequentObservationsAreMerged) {
+  FreshnessWindow window;
+  for (int i = 0; i < 1000; ++i) {
+    window.Observe(1, {LogPosition{1, static_cast<std::uint64_t>(i + 1)}, At(i)});
+  }
+  ASSERT_TRUE(window.Newest());
+  EXPECT_EQ(window.Newest()->position.index, 1000U);
+  // A merged window never answers with an observation that is older than asked for.
+  for (int since = 0; since < 1000; since += 7) {
+    const auto position = window.OldestSince(At(since));
+    ASSERT_TRUE(position);
+    EXPECT_GE(position->index, static_cast<std::uint64_t>(since + 1));
+  }
+}
+
+class PrimaryGrantsTest : public testing::Test {
+ protected:
+  PrimaryGrant Make(std::uint64_t generation, std::uint64_t epoch) const {
+    return PrimaryGrant{"s", generation, epoch, this->clock.Now() + seconds(5)};
+  }
+  ManualClock clock;
+  PrimaryGrants grants{this->clock};
+};
+
+TEST_F(PrimaryGrantsTest, GrantsExpire) {
+  this->grants.Renew("db", this->Make(1, 1));
+  EXPECT_TRUE(this->grants.Current("db"));
+  this->clock.Advance(seconds(5));
+  EXPECT_FALSE(this->grants.Current("db"));
+  EXPECT_FALSE(this->grants.StillValid("db", 1));
+}
+
+// Guards against an answer to a heartbeat that arrives after the revocation.
+TEST_F(PrimaryGrantsTest, ARevokedGenerationIsNotRenewed) {
+  this->grants.Renew("db", this->Make(3, 1));
+  EXPECT_TRUE(this->grants.Revoke(1, "db", 3));
+  EXPECT_FALSE(this->grants.Current("db"));
+  EXPECT_TRUE(this->grants.StillValid("db", 3)) << "statements under way may end";
+  this->grants.FinishRevocation("db");
+  EXPECT_FALSE(this->grants.StillValid("db", 3));
+  this->grants.Renew("db", this->Make(3, 1));
+  EXPECT_FALSE(this->grants.Current("db"));
+  this->grants.Renew("db", this->Make(4, 1));
+  EXPECT_TRUE(this->grants.Current("db"));
+}
+
+// Guards against a replaced leader that does not know it yet.
+TEST_F(PrimaryGrantsTest, EarlierLeadersAreNotObeyed) {
+  EXPECT_TRUE(this->grants.Adopt(7));
+  this->grants.Renew("db", this->Make(1, 6));
+  EXPECT_FALSE(this->grants.Current("db"));
+  EXPECT_FALSE(this->grants.Revoke(6, "db", 1));
+  EXPECT_FALSE(this->grants.Adopt(6));
+}
+
+TEST(ReadPlacementTest, PrefersTheShortestExpectedTime) {
+  struct Case {
+    const char* what;
+    std::vector<PlacementCandidate> candidates;
+    std::optional<std::size_t> expected;
+  };
+  const auto server = [](int ms, std::size_t outstanding, bool primary = false,
+                         bool usable = true) {
+    PlacementCandidate candidate;
+    candidate.response_time = milliseconds(ms);
+    candidate.outstanding = outstanding;
+    candidate.primary = primary;
+    candidate.usable = usable;
+    return candidate;
+  };
+  const std::vector<Case> cases = {
+      {"the fastest", {server(30, 0), server(10, 0), server(20, 0)}, 1},
+      {"a slow server without a queue over a fast one with a long queue",
+       {server(20, 12), server(60, 0)},
+       1},
+      {"a replica over an equally fast primary", {server(20, 0, true), server(20, 0)}, 1},
+      {"the primary over a much slower replica", {server(20, 0, true), server(100, 0)}, 0},
+      {"only usable servers", {server(5, 0, false, false), server(50, 9)}, 1},
+      {"nothing", {server(5, 0, false, false)}, std::nullopt},
+  };
+  for (const Case& entry : cases) {
+    EXPECT_EQ(PlaceRead(entry.candidates, {}), entry.expected) << entry.what;
+  }
+}
+
+class ServerDirectoryTest : public testing::Test {
+ protected:
+  static BackendServerRecord Record(const std::string& id) {
+    BackendServerRecord record;
+    record.id = id;
+    record.database = "db";
+    return record;
+  }
+  ManualClock clock;
+  int changes = 0;
+  ServerDirectory directory{
+      this->clock, [this](const std::map<std::string, BackendServerRecord>&) { ++this->changes; }};
+};
+
+// Guards against dropping servers whose records lapsed while the store was away.
+TEST_F(ServerDirectoryTest, ARecordThatComesBackIsNotMissed) {
+  this->directory.SetStoreReachable(true);
+  this->directory.Put(Record("a"));
+  this->directory.Remove("a");
+  this->clock.Advance(seconds(2));
+  this->directory.Tick();
+  this->directory.Put(Record("a"));
+  this->clock.Advance(seconds(2));
+  this->directory.Tick();
+  EXPECT_EQ(this->directory.Records().size(), 1U);
+  EXPECT_EQ(this->changes, 1);
+}
+
+TEST_F(ServerDirectoryTest, RemovalsWaitForTheStore) {
+  this->directory.Put(Record("a"));
+  this->directory.Remove("a");
+  this->clock.Advance(seconds(20));
+  this->directory.Tick();
+  EXPECT_EQ(this->directory.Records().size(), 1U);
+  this->directory.SetStoreReachable(true);
+  this->clock.Advance(ServerDirectory::kRemovalDelay);
+  this->directory.Tick();
+  EXPECT_TRUE(this->directory.Records().empty());
+}
+
+TEST_F(ServerDirectoryTest, ADrainingServerIsRemovedAtOnce) {
+  BackendServerRecord record = Record("a");
+  record.state = BackendServerState::kDraining;
+  this->directory.Put(record);
+  this->directory.Remove("a");
+  EXPECT_TRUE(this->directory.Records().empty());
+}
+
+}  // namespace
+}  // namespace sycamoredrum
--- a/src/relay/session_relay.cc
+++ b/src/relay/session_relay.cc
@@ -351,10 +351,12 @@
   std::map<std::string, DatabaseReport> reports;
   for (const auto& [name, cap] : this->impl->configuration->connection_caps) {
     const std::optional<PrimaryGrant> grant = this->impl->grants.Current(name);
+    DatabaseReport report;
+    report.revoked_generation = this->impl->grants.RevokedGeneration(name);
     if (!grant) {
+      reports.emplace(name, report);
       continue;
     }
-    DatabaseReport report;
     report.generation = grant->generation;
     report.newest = this->NewestPosition(name, grant->generation);
     if (const RelayServer* server = this->impl->FindServer(grant->server)) {
--- /dev/null
+++ b/src/relay/session_relay_test.cc
@@ -0,0 +1,537 @@
+#include "sycamoredrum/session_relay.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "simulated_database_test.h"
+#include "sycamoredrum/manual_clock.h"
+
+namespace sycamoredrum {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint64_t kSeed = 20261204;
+
+Statement Make(StatementKind kind, const std::string& id, const std::string& item = "a") {
+  Statement statement;
+  statement.kind = kind;
+  statement.id = id;
+  statement.item = item;
+  return statement;
+}
+
+/// A caller that keeps the answers to its statements.
+struct TestCaller {
+  std::shared_ptr<CallerSession> session;
+  std::vector<StatementResult> results;
+
+  StatementErrorCode LastError() const {
+    return this->results.empty() || !this->results.back().error ? StatementErrorCode::kOther
+                                                                : this->results.back().error->code;
+  }
+  bool LastSucceeded() const { return !this->results.empty() && !this->results.back().error; }
+};
+
+class SessionRelayTest : public testing::Test {
+ protected:
+  SessionRelayTest()
+      : database(this->clock, "orders", 3),
+        grants(this->clock),
+        logger(LogLevel::kError, LogFormat::kText, this->clock, [](const std::string&) {}) {
+    SessionRelayHooks hooks;
+    hooks.open_channel = [this](const BackendServerRecord& record, BackendChannelEvents events) {
+      return this->database.Open(record, std::move(events));
+    };
+    hooks.primary_suspected = [this](const std::string&) { ++this->suspicions; };
+    this->relay = std::make_unique<SessionRelay>(
+        SessionRelayOptions{"dc0"}, hooks, this->grants, this->clock, this->clock,
+        [this] { return this->random(); }, this->logger, this->metrics);
+    auto configuration = std::make_shared<RelayConfiguration>();
+    configuration->version = 1;
+    configuration->connection_caps["orders"] = 21;
+    configuration->transaction_idle_timeout = seconds(3);
+    configuration->routes["place"] = Route("place", ReadConsistency::kPrimary, {});
+    configuration->routes["stock"] = Route("stock", ReadConsistency::kBounded, milliseconds(1500));
+    configuration->routes["quotes"] =
+        Route("quotes", ReadConsistency::kReadYourWrites, milliseconds(2500));
+    this->relay->SetConfiguration(configuration);
+    this->relay->SetServers(this->database.Records());
+    this->Grant(0, 1);
+  }
+
+  static RelayRoute Route(const std::string& name, ReadConsistency consistency, Duration max_age) {
+    RelayRoute route;
+    route.name = name;
+    route.database = "orders";
+    route.consistency = consistency;
+    route.max_age = max_age;
+    route.statement_timeout = seconds(1);
+    route.latency_objective = seconds(1);
+    return route;
+  }
+
+  void Grant(int server, std::uint64_t generation, Duration validity = seconds(60)) {
+    this->grants.Renew("orders", PrimaryGrant{this->database.Id(server), generation, 1,
+                                              this->clock.Now() + validity});
+    this->relay->GrantsChanged();
+  }
+
+  TestCaller& Open(const std::string& route) {
+    this->callers.push_back(std::make_unique<TestCaller>());
+    TestCaller* caller = this->callers.back().get();
+    caller->session = this->relay->Open(
+        route,
+        CallerSessionHooks{
+            [caller](const StatementResult& result) { caller->results.push_back(result); }, [] {}});
+    return *caller;
+  }
+
+  void Advance(Duration time) {
+    for (Duration passed{}; passed < time; passed += milliseconds(10)) {
+      this->clock.Advance(milliseconds(10));
+      this->relay->Tick();
+    }
+  }
+
+  /// Runs one statement to its end.
+  const StatementResult& Do(TestCaller& caller, const Statement& statement,
+                            Duration limit = seconds(2)) {
+    const std::size_t before = caller.results.size();
+    caller.session->Handle(statement);
+    for (Duration passed{}; passed < limit && caller.results.size() == before;
+         passed += milliseconds(5)) {
+      this->clock.Advance(milliseconds(5));
+      this->relay->Tick();
+    }
+    EXPECT_EQ(caller.results.size(), before + 1) << statement.id;
+    return caller.results.back();
+  }
+
+  std::vector<SimulatedDatabase::Run> RunsOf(const std::string& id) const {
+    std::vector<SimulatedDatabase::Run> found;
+    for (const SimulatedDatabase::Run& run : this->database.runs) {
+      if (run.id == id) {
+        found.push_back(run);
+      }
+    }
+    return found;
+  }
+
+  ManualClock clock;
+  SimulatedDatabase database;
+  PrimaryGrants grants;
+  Logger logger;
+  Metrics metrics;
+  std::mt19937_64 random{kSeed};
+  std::unique_ptr<SessionRelay> relay;
+  std::vector<std::unique_ptr<TestCaller>> callers;
+  int suspicions = 0;
+};
+
+// Guards against a route that does not exist being served by some default.
+TEST_F(SessionRelayTest, OpensOnlyConfiguredRoutes) {
+  EXPECT_EQ(this->relay->Open("unknown", {}), nullptr);
+}
+
+TEST_F(SessionRelayTest, WritesRunOnceAtThePrimary) {
+  TestCaller& caller = this->Open("place");
+  EXPECT_FALSE(this->Do(caller, Make(StatementKind::kWrite, "w1")).error);
+  ASSERT_EQ(this->RunsOf("w1").size(), 1U);
+  EXPECT_EQ(this->RunsOf("w1")[0].server, "orders-0");
+}
+
+// Guards against a write that is sent again after its answer was lost.
+TEST_F(SessionRelayTest, LostAnswerOfAWriteIsAnUnknownOutcome) {
+  TestCaller& caller = this->Open("place");
+  this->Do(caller, Make(StatementKind::kRead, "warm"));
+  this->database.At(0).lost_answers = 1;
+  this->Do(caller, Make(StatementKind::kWrite, "w1"));
+  EXPECT_EQ(caller.LastError(), StatementErrorCode::kUnknownOutcome);
+  this->Advance(seconds(2));
+  EXPECT_EQ(this->RunsOf("w1").size(), 1U);
+}
+
+TEST_F(SessionRelayTest, LostAnswerOfACommitIsAnUnknownOutcomeOnlyIfItWrote) {
+  for (const bool writes : {true, false}) {
+    TestCaller& caller = this->Open("place");
+    this->Do(caller, Make(StatementKind::kBegin, "b"));
+    this->Do(caller, Make(writes ? StatementKind::kWrite : StatementKind::kRead, "s"));
+    this->database.At(0).lost_answers = 1;
+    this->Do(caller, Make(StatementKind::kCommit, "c"));
+    EXPECT_EQ(caller.LastError(),
+              writes ? StatementErrorCode::kUnknownOutcome : StatementErrorCode::kAborted);
+    EXPECT_EQ(caller.results.back().state, TransactionState::kNone);
+  }
+}
+
+TEST_F(SessionRelayTest, LostAnswerOfAReadIsReadElsewhere) {
+  TestCaller& caller = this->Open("stock");
+  this->Do(caller, Make(StatementKind::kRead, "r0"));
+  for (int i = 0; i < 3; ++i) {
+    this->database.At(i).lost_answers = i == 2 ? 0 : 1;
+  }
+  EXPECT_FALSE(this->Do(caller, Make(StatementKind::kRead, "r1")).error);
+}
+
+// Guards against reads that see less than the route promises: each must require a position that the
+// primary's log had within the allowed age.
+TEST_F(SessionRelayTest, ReadsRequireARecentPosition) {
+  TestCaller& writer = this->Open("place");
+  TestCaller& reader = this->Open("stock");
+  this->Do(writer, Make(StatementKind::kWrite, "w1"));
+  this->Advance(milliseconds(1600));
+  this->Do(writer, Make(StatementKind::kWrite, "w2"));
+  this->Do(reader, Make(StatementKind::kRead, "r1"));
+  ASSERT_EQ(this->RunsOf("r1").size(), 1U);
+  const SimulatedDatabase::Run run = this->RunsOf("r1")[0];
+  // w1 was acknowledged more than 1.5 s before, w2 was not.
+  EXPECT_GE(run.log_end.index, 2U);
+  ASSERT_TRUE(run.required);
+  EXPECT_GE(run.required->index, 2U);
+}
+
+TEST_F(SessionRelayTest, AReplicaThatIsBehindIsNotReadFrom) {
+  TestCaller& writer = this->Open("place");
+  TestCaller& reader = this->Open("quotes");
+  this->database.At(1).lag = seconds(30);
+  this->database.At(2).lag = seconds(30);
+  this->Do(reader, Make(StatementKind::kWrite, "w1"));
+  this->Do(writer, Make(StatementKind::kWrite, "w2"));
+  this->Do(reader, Make(StatementKind::kRead, "r1"));
+  ASSERT_EQ(this->RunsOf("r1").size(), 1U);
+  EXPECT_EQ(this->RunsOf("r1")[0].server, "orders-0")
+      << "only the primary has this session's write";
+}
+
+// Guards against positions of a rolled-back log: after a promotion a session may not wait for them.
+TEST_F(SessionRelayTest, PositionsOfAnEarlierGenerationAreNotRequired) {
+  TestCaller& caller = this->Open("quotes");
+  this->database.At(1).isolated = true;
+  this->database.At(2).isolated = true;
+  this->Do(caller, Make(StatementKind::kWrite, "w1"));
+  this->database.At(0).down = true;
+  this->database.At(1).isolated = false;
+  this->database.At(2).isolated = false;
+  this->database.Promote("orders-1", milliseconds(10));
+  this->Advance(milliseconds(50));
+  this->Grant(1, 2);
+  EXPECT_FALSE(this->Do(caller, Make(StatementKind::kRead, "r1")).error);
+}
+
+TEST_F(SessionRelayTest, WithoutAGrantPrimaryStatementsWaitAndAreThenRefused) {
+  this->grants.Revoke(1, "orders", 1);
+  this->grants.FinishRevocation("orders");
+  TestCaller& caller = this->Open("place");
+  caller.session->Handle(Make(StatementKind::kRead, "r1"));
+  this->Advance(milliseconds(500));
+  EXPECT_TRUE(caller.results.empty());
+  this->Grant(1, 2);
+  this->database.At(1).role = Role::kPrimary;
+  this->Advance(milliseconds(200));
+  EXPECT_TRUE(caller.LastSucceeded());
+
+  this->grants.Revoke(1, "orders", 2);
+  this->grants.FinishRevocation("orders");
+  caller.session->Handle(Make(StatementKind::kRead, "r2"));
+  this->Advance(milliseconds(1100));
+  EXPECT_EQ(caller.LastError(), StatementErrorCode::kBusy);
+  EXPECT_TRUE(this->RunsOf("r2").empty()) << "a refusal must be true";
+}
+
+// Guards against acknowledging a write of a primary that may have been replaced meanwhile.
+TEST_F(SessionRelayTest, AWriteThatOutlivesItsGrantHasAnUnknownOutcome) {
+  TestCaller& caller = this->Open("place");
+  this->Do(caller, Make(StatementKind::kRead, "warm"));
+  this->database.At(0).work = milliseconds(300);
+  caller.session->Handle(Make(StatementKind::kWrite, "w1"));
+  this->Advance(milliseconds(100));
+  this->grants.Revoke(1, "orders", 1);
+  this->grants.FinishRevocation("orders");
+  this->Advance(milliseconds(400));
+  EXPECT_EQ(caller.LastError(), StatementErrorCode::kUnknownOutcome);
+}
+
+// A planned change waits for statements under way before the grant is given back.
+TEST_F(SessionRelayTest, AWriteThatEndsBeforeTheRevocationIsAcknowledgedSucceeds) {
+  TestCaller& caller = this->Open("place");
+  this->Do(caller, Make(StatementKind::kRead, "warm"));
+  this->database.At(0).work = milliseconds(100);
+  caller.session->Handle(Make(StatementKind::kWrite, "w1"));
+  this->Advance(milliseconds(20));
+  this->grants.Revoke(1, "orders", 1);
+  EXPECT_EQ(this->relay->OpenPrimaryWork("orders"), 1U);
+  this->Advance(milliseconds(200));
+  EXPECT_TRUE(caller.LastSucceeded());
+  EXPECT_EQ(this->relay->OpenPrimaryWork("orders"), 0U);
+}
+
+TEST_F(SessionRelayTest, TransactionsKeepOneConnection) {
+  TestCaller& first = this->Open("place");
+  TestCaller& second = this->Open("place");
+  this->Do(first, Make(StatementKind::kBegin, "b1"));
+  this->Do(second, Make(StatementKind::kBegin, "b2"));
+  for (int i = 0; i < 3; ++i) {
+    this->Do(first, Make(StatementKind::kWrite, "f" + std::to_string(i)));
+    this->Do(second, Make(StatementKind::kWrite, "s" + std::to_string(i)));
+  }
+  this->Do(first, Make(StatementKind::kCommit, "f3"));
+  this->Do(second, Make(StatementKind::kCommit, "s3"));
+  std::set<int> connections_of_first;
+  std::set<int> connections_of_second;
+  for (const SimulatedDatabase::Run& run : this->database.runs) {
+    EXPECT_TRUE(run.in_transaction) << run.id;
+    (run.id[0] == 'f' ? connections_of_first : connections_of_second).insert(run.connection);
+  }
+  EXPECT_EQ(connections_of_first.size(), 1U);
+  EXPECT_EQ(connections_of_second.size(), 1U);
+  EXPECT_NE(connections_of_first, connections_of_second);
+}
+
+TEST_F(SessionRelayTest, ATransactionIsAbortedWhenItsPrimaryIsReplaced) {
+  TestCaller& caller = this->Open("place");
+  this->Do(caller, Make(StatementKind::kBegin, "b"));
+  this->Do(caller, Make(StatementKind::kWrite, "w"));
+  this->grants.Revoke(1, "orders", 1);
+  this->grants.FinishRevocation("orders");
+  this->Do(caller, Make(StatementKind::kCommit, "c"));
+  EXPECT_EQ(caller.LastError(), StatementErrorCode::kAborted);
+  EXPECT_TRUE(this->RunsOf("c").empty());
+}
+
+TEST_F(SessionRelayTest, AFailedTransactionTakesOnlyItsEnd) {
+  TestCaller& caller = this->Open("place");
+  this->Do(caller, Make(StatementKind::kBegin, "b"));
+  this->Do(caller, Make(StatementKind::kWrite, "w"));
+  this->database.At(0).lost_answers = 1;
+  this->Do(caller, Make(StatementKind::kRead, "r"));
+  EXPECT_EQ(caller.LastError(), StatementErrorCode::kAborted);
+  EXPECT_EQ(caller.results.back().state, TransactionState::kFailed);
+  this->Do(caller, Make(StatementKind::kRead, "r2"));
+  EXPECT_EQ(caller.LastError(), StatementErrorCode::kMalformed);
+  EXPECT_FALSE(this->Do(caller, Make(StatementKind::kRollback, "x")).error);
+  EXPECT_EQ(caller.results.back().state, TransactionState::kNone);
+}
+
+TEST_F(SessionRelayTest, IdleTransactionsAreRolledBack) {
+  TestCaller& caller = this->Open("place");
+  this->Do(caller, Make(StatementKind::kBegin, "b"));
+  this->Do(caller, Make(StatementKind::kWrite, "w"));
+  this->Advance(seconds(4));
+  EXPECT_EQ(this->relay->OpenTransactions(), 0U);
+  this->Do(caller, Make(StatementKind::kCommit, "c"));
+  EXPECT_EQ(caller.LastError(), StatementErrorCode::kAborted);
+  EXPECT_EQ(SimulatedDatabase::End(this->database.At(0)).index, 1U);
+}
+
+TEST_F(SessionRelayTest, ACallerThatLeavesInATransactionRollsBack) {
+  TestCaller& caller = this->Open("place");
+  this->Do(caller, Make(StatementKind::kBegin, "b"));
+  this->Do(caller, Make(StatementKind::kWrite, "w"));
+  caller.session->CallerGone();
+  caller.session.reset();
+  this->Advance(milliseconds(100));
+  // The connection is free again and outside a transaction.
+  TestCaller& next = this->Open("place");
+  this->Do(next, Make(StatementKind::kRead, "r"));
+  EXPECT_FALSE(this->RunsOf("r")[0].in_transaction);
+  EXPECT_EQ(SimulatedDatabase::End(this->database.At(0)).index, 1U);
+}
+
+// Guards against a caller that leaves while its connection is still being prepared.
+TEST_F(SessionRelayTest, ACallerThatLeavesBeforeItsStatementIsSentDoesNotRunIt) {
+  TestCaller& caller = this->Open("place");
+  Statement set = Make(StatementKind::kSet, "s");
+  set.name = "zone";
+  set.data = "1";
+  this->Do(caller, set);
+  caller.session->Handle(Make(StatementKind::kWrite, "w"));
+  this->clock.Advance(milliseconds(13));
+  caller.session->CallerGone();
+  this->Advance(milliseconds(500));
+  EXPECT_TRUE(this->RunsOf("w").empty());
+}
+
+// Guards against values of one session that reach another one on the same connection.
+TEST_F(SessionRelayTest, SessionVariablesFollowTheirSession) {
+  TestCaller& first = this->Open("place");
+  TestCaller& second = this->Open("place");
+  Statement set = Make(StatementKind::kSet, "s");
+  set.name = "mode";
+  set.data = "fast";
+  this->Do(first, set);
+  for (int round = 0; round < 3; ++round) {
+    this->Do(first, Make(StatementKind::kRead, "f"));
+    this->Do(second, Make(StatementKind::kRead, "g"));
+  }
+  for (const SimulatedDatabase::Run& run : this->database.runs) {
+    const std::map<std::string, std::string> expected =
+        run.id == "f" ? std::map<std::string, std::string>{{"mode", "fast"}}
+                      : std::map<std::string, std::string>{};
+    EXPECT_EQ(run.variables, expected) << run.id;
+  }
+}
+
+// Guards against prepared statements of different sessions that have the same name.
+TEST_F(SessionRelayTest, PreparedNamesOfDifferentSessionsDoNotCollide) {
+  TestCaller& reader = this->Open("place");
+  TestCaller& writer = this->Open("place");
+  Statement prepare = Make(StatementKind::kPrepare, "p");
+  prepare.name = "s1";
+  prepare.shape = "one";
+  this->Do(reader, prepare);
+  prepare.shape = "two";
+  prepare.writes = true;
+  this->Do(writer, prepare);
+  Statement execute = Make(StatementKind::kExecute, "er");
+  execute.name = "s1";
+  this->Do(reader, execute);
+  execute.id = "ew";
+  this->Do(writer, execute);
+  ASSERT_EQ(this->RunsOf("er").size(), 1U);
+  ASSERT_EQ(this->RunsOf("ew").size(), 1U);
+  EXPECT_NE(this->RunsOf("er")[0].name, this->RunsOf("ew")[0].name);
+  EXPECT_EQ(SimulatedDatabase::End(this->database.At(0)).index, 2U) << "one of them wrote";
+}
+
+TEST_F(SessionRelayTest, ExecutingAnUnknownNameIsRefused) {
+  TestCaller& caller = this->Open("place");
+  Statement execute = Make(StatementKind::kExecute, "e");
+  execute.name = "missing";
+  this->Do(caller, execute);
+  EXPECT_EQ(caller.LastError(), StatementErrorCode::kUnknownStatement);
+}
+
+// Load pattern: one replica stops answering under a steady read load. Reads move away from it in
+// well under a statement's time limit.
+TEST_F(SessionRelayTest, ReadsLeaveASilentReplica) {
+  TestCaller& warm = this->Open("place");
+  this->Do(warm, Make(StatementKind::kRead, "warm"));
+  this->database.At(1).silent = true;
+  std::vector<TestCaller*> readers;
+  for (int i = 0; i < 6; ++i) {
+    readers.push_back(&this->Open("stock"));
+  }
+  int sent = 0;
+  for (int round = 0; round < 100; ++round) {
+    for (TestCaller* reader : readers) {
+      if (reader->session->Idle()) {
+        reader->session->Handle(Make(StatementKind::kRead, "r" + std::to_string(++sent)));
+      }
+    }
+    this->Advance(milliseconds(20));
+    if (round % 20 == 0) {
+      this->Do(warm, Make(StatementKind::kRead, "warm"));
+    }
+  }
+  int failed = 0;
+  for (TestCaller* reader : readers) {
+    failed += static_cast<int>(
+        std::count_if(reader->results.begin(), reader->results.end(),
+                      [](const StatementResult& result) { return result.error.has_value(); }));
+  }
+  EXPECT_EQ(failed, 0);
+  EXPECT_GT(sent, 400);
+}
+
+// Load pattern: a server's queue is full for a moment. Reads go to another one at once.
+TEST_F(SessionRelayTest, ABusyServerIsNotAskedTwiceForOneRead) {
+  TestCaller& caller = this->Open("stock");
+  this->Do(caller, Make(StatementKind::kRead, "warm"));
+  for (int i = 0; i < 3; ++i) {
+    this->database.At(i).busy_answers = i == 0 ? 0 : 1;
+  }
+  const TimePoint start = this->clock.Now();
+  EXPECT_FALSE(this->Do(caller, Make(StatementKind::kRead, "r")).error);
+  EXPECT_LT(this->clock.Now() - start, milliseconds(120));
+}
+
+// Load pattern: more work than connections. What cannot be served in time is refused at once, with
+// a time to come back, and did not run.
+TEST_F(SessionRelayTest, OverloadIsRefusedEarlyAndTruly) {
+  this->database.At(0).work = milliseconds(400);
+  this->relay->SetSharing(6, {});  // A third of the cap: 7 connections.
+  std::vector<TestCaller*> callers_here;
+  for (int i = 0; i < 60; ++i) {
+    callers_here.push_back(&this->Open("place"));
+    callers_here.back()->session->Handle(Make(StatementKind::kWrite, "w" + std::to_string(i)));
+  }
+  this->Advance(milliseconds(700));
+  int refused = 0;
+  for (std::size_t i = 0; i < callers_here.size(); ++i) {
+    if (callers_here[i]->LastError() == StatementErrorCode::kBusy) {
+      ++refused;
+      EXPECT_TRUE(this->RunsOf("w" + std::to_string(i)).empty());
+      EXPECT_THAT(callers_here[i]->results.back().error->message,
+                  testing::HasSubstr("retry after"));
+    }
+  }
+  EXPECT_EQ(refused, 60 - 2 * 7) << "two rounds of 7 fit into half of the objective";
+  // The work is known to take 400 ms by now: whoever would start after half of the objective is
+  // refused without a wait.
+  this->Advance(milliseconds(500));
+  int refused_at_once = 0;
+  for (TestCaller* caller : callers_here) {
+    const std::size_t before = caller->results.size();
+    caller->session->Handle(Make(StatementKind::kWrite, "again"));
+    refused_at_once += caller->results.size() > before ? 1 : 0;
+  }
+  EXPECT_GE(refused_at_once, 60 - 3 * 7);
+}
+
+// Guards against a relay that keeps every connection to itself: the servers' cap is shared.
+TEST_F(SessionRelayTest, CrowdedServersAreSharedEvenly) {
+  this->relay->SetSharing(6, {"orders-0"});
+  this->database.At(0).work = milliseconds(100);
+  for (int i = 0; i < 20; ++i) {
+    this->Open("place").session->Handle(Make(StatementKind::kRead, "r" + std::to_string(i)));
+  }
+  this->Advance(milliseconds(300));
+  EXPECT_LE(this->database.At(0).connections, 3U);
+}
+
+TEST_F(SessionRelayTest, ARemovedServerIsNotUsedAnyMore) {
+  TestCaller& caller = this->Open("stock");
+  this->Do(caller, Make(StatementKind::kRead, "warm"));
+  auto records = this->database.Records();
+  records.erase("orders-1");
+  this->relay->SetServers(records);
+  for (int i = 0; i < 10; ++i) {
+    this->Do(caller, Make(StatementKind::kRead, "r" + std::to_string(i)));
+    EXPECT_NE(this->RunsOf("r" + std::to_string(i))[0].server, "orders-1");
+  }
+}
+
+TEST_F(SessionRelayTest, ADrainingServerGetsNoNewReads) {
+  TestCaller& caller = this->Open("stock");
+  this->Do(caller, Make(StatementKind::kRead, "warm"));
+  auto records = this->database.Records();
+  records["orders-2"].state = BackendServerState::kDraining;
+  this->relay->SetServers(records);
+  for (int i = 0; i < 10; ++i) {
+    this->Do(caller, Make(StatementKind::kRead, "r" + std::to_string(i)));
+    EXPECT_NE(this->RunsOf("r" + std::to_string(i))[0].server, "orders-2");
+  }
+}
+
+TEST_F(SessionRelayTest, ARouteThatWasRemovedIsRefusedFromTheNextTransaction) {
+  TestCaller& caller = this->Open("place");
+  this->Do(caller, Make(StatementKind::kBegin, "b"));
+  this->Do(caller, Make(StatementKind::kWrite, "w"));
+  auto changed = std::make_shared<RelayConfiguration>(*this->relay->Configuration());
+  changed->version = 2;
+  changed->routes.erase("place");
+  this->relay->SetConfiguration(changed);
+  EXPECT_FALSE(this->Do(caller, Make(StatementKind::kCommit, "c")).error);
+  this->Do(caller, Make(StatementKind::kRead, "r"));
+  EXPECT_EQ(caller.LastError(), StatementErrorCode::kUnknownDatabase);
+}
+
+}  // namespace
+}  // namespace sycamoredrum
--- /dev/null
+++ b/src/relay/simulated_database_test.h
@@ -0,0 +1,343 @@
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "sycamoredrum/backend_channel.h"
+#include "sycamoredrum/manual_clock.h"
+#include "sycamoredrum/primary_authority.h"
+
+namespace sycamoredrum {
+
+/// A database group with asynchronous replication in virtual time: it runs statements, replicates
+/// commits after a lag, and promotes a server on request. It keeps what it ran for the checks.
+class SimulatedDatabase {
+ public:
+  struct Run {
+    std::string server;
+    std::string id;
+    StatementKind kind = StatementKind::kInvalid;
+    std::string name;                            ///< Of a prepared statement, on the connection.
+    std::optional<LogPosition> required;
+    bool in_transaction = false;
+    int connection = 0;
+    std::map<std::string, std::string> variables;
+    LogPosition log_end;
+  };
+
+  struct Server {
+    BackendServerRecord record;
+    Role role = Role::kReplica;
+    std::uint64_t term = 1;
+    std::vector<std::uint64_t> log_terms;  ///< Term of each entry.
+    bool silent = false;                   ///< Takes everything and answers nothing.
+    bool down = false;                     ///< Nothing listens.
+    bool isolated = false;                 ///< Receives no commits.
+    int busy_answers = 0;                  ///< Statements that are refused as busy.
+    int lost_answers = 0;                  ///< Statements that run and whose connection then ends.
+    std::size_t connection_cap = 100;
+    std::size_t connections = 0;
+    Duration lag = std::chrono::milliseconds(8);
+    Duration work = std::chrono::milliseconds(5);
+  };
+
+  SimulatedDatabase(ManualClock& clock, std::string name, int servers) : clock(clock) {
+    for (int i = 0; i < servers; ++i) {
+      Server server;
+      server.record.id = name + "-" + std::to_string(i);
+      server.record.database = name;
+      server.record.endpoint = Endpoint{"10.0.0." + std::to_string(i + 1), 1000};
+      server.record.data_centre = "dc" + std::to_string(i);
+      server.role = i == 0 ? Role::kPrimary : Role::kReplica;
+      server.log_terms = {1};
+      this->servers.emplace(server.record.id, server);
+    }
+    this->name = std::move(name);
+  }
+
+  Server& At(int index) { return this->servers.at(this->name + "-" + std::to_string(index)); }
+  std::string Id(int index) const { return this->name + "-" + std::to_string(index); }
+
+  std::map<std::string, BackendServerRecord> Records() const {
+    std::map<std::string, BackendServerRecord> records;
+    for (const auto& [id, server] : this->servers) {
+      records[id] = server.record;
+    }
+    return records;
+  }
+
+  static LogPosition End(const Server& server) {
+    return LogPosition{server.log_terms.empty() ? 0 : server.log_terms.back(),
+                       server.log_terms.size()};
+  }
+
+  static bool Contains(const Server& server, const LogPosition& position) {
+    return position.index <= server.log_terms.size() && position.index > 0 &&
+           server.log_terms[position.index - 1] <= position.term &&
+           server.log_terms.back() >= position.term;
+  }
+
+  std::shared_ptr<BackendChannel> Open(const BackendServerRecord& record,
+                                       BackendChannelEvents events) {
+    auto channel = std::make_shared<Channel>(*this, record.id, std::move(events));
+    channel->Start();
+    return channel;
+  }
+
+  void Probe(const BackendServerRecord& record,
+             const std::function<void(const BackendProbe&)>& done) {
+    this->clock.RunAfter(std::chrono::milliseconds(10), [this, id = record.id, done] {
+      const Server& server = this->servers.at(id);
+      BackendProbe probe;
+      if (server.down) {
+        probe.outcome = ProbeOutcome::kNotListening;
+      } else if (!server.silent) {
+        probe.outcome = ProbeOutcome::kAnswered;
+        probe.role = server.role;
+        probe.term = server.term;
+        probe.received = End(server);
+      }
+      done(probe);
+    });
+  }
+
+  /// The named server leads the next term after `delay`, with what its log has then.
+  void Promote(const std::string& id, Duration delay = std::chrono::milliseconds(300)) {
+    this->clock.RunAfter(delay, [this, id] {
+      Server& successor = this->servers.at(id);
+      if (successor.down || successor.role == Role::kPrimary) {
+        return;
+      }
+      std::uint64_t term = 0;
+      for (const auto& [other, server] : this->servers) {
+        term = std::max(term, server.term);
+      }
+      successor.role = Role::kPrimary;
+      successor.term = term + 1;
+      this->promotions.push_back(id);
+      for (auto& [other, server] : this->servers) {
+        // The old primary goes on until it hears of the new one.
+        if (other != id && server.role == Role::kReplica) {
+          server.term = successor.term;
+          server.log_terms.resize(std::min(server.log_terms.size(), successor.log_terms.size()));
+        }
+      }
+    });
+  }
+
+  std::vector<Run> runs;
+  std::vector<std::string> promotions;
+  std::map<std::string, Server> servers;
+
+ private:
+  class Channel : public BackendChannel, public std::enable_shared_from_this<Channel> {
+   public:
+    Channel(SimulatedDatabase& database, std::string server, BackendChannelEvents events)
+        : database(database), server(std::move(server)), events(std::move(events)) {}
+
+    void Start() {
+      this->database.clock.RunAfter(std::chrono::milliseconds(12),
+                                    [self = this->shared_from_this()] { self->Opened(); });
+    }
+
+    void Send(const BackendCommand& command) override {
+      const Duration work = this->database.servers.at(this->server).work;
+      this->busy_until = std::max(this->busy_until, this->database.clock.Now()) + work;
+      this->database.clock.RunAfter(
+          this->busy_until - this->database.clock.Now(),
+          [self = this->shared_from_this(), command] { self->Execute(command); });
+    }
+
+    void Close() override {
+      if (!std::exchange(this->closed, true) && this->counted) {
+        --this->database.servers.at(this->server).connections;
+      }
+      this->events = {};
+    }
+
+   private:
+    void Opened() {
+      Server& target = this->database.servers.at(this->server);
+      if (this->closed || target.silent) {
+        return;
+      }
+      if (target.down) {
+        this->Fail("connection refused");
+        return;
+      }
+      if (target.connections >= target.connection_cap) {
+        const auto report = this->events.refused;
+        this->closed = true;
+        report(StatementError{StatementErrorCode::kTooManyConnections, "cap"});
+        return;
+      }
+      ++target.connections;
+      this->counted = true;
+      this->number = ++this->database.next_connection;
+      this->events.opened(End(target));
+    }
+
+    void Fail(const std::string& reason) {
+      if (this->closed) {
+        return;
+      }
+      const auto report = this->events.closed;
+      this->Close();
+      report(reason);
+    }
+
+    void Execute(const BackendCommand& command) {
+      Server& target = this->database.servers.at(this->server);
+      if (this->closed || target.silent) {
+        return;
+      }
+      if (target.down) {
+        this->Fail("connection reset");
+        return;
+      }
+      StatementResult result = this->Result(target, command);
+      if (target.lost_answers > 0 && command.statement.id != "") {
+        --target.lost_answers;
+        this->Fail("the answer was lost");
+        return;
+      }
+      result.position = End(target);
+      const auto report = this->events.result;
+      report(result);
+    }
+
+    StatementResult Result(Server& target, const BackendCommand& command) {
+      const Statement& statement = command.statement;
+      StatementResult result;
+      const auto refuse = [&](StatementErrorCode code) {
+        result.error = StatementError{code, "refused"};
+        result.state = this->State();
+        return result;
+      };
+      const bool forwarded = !statement.id.empty();
+      if (forwarded && target.busy_answers > 0) {
+        --target.busy_answers;
+        return refuse(StatementErrorCode::kBusy);
+      }
+      if (command.required && !Contains(target, *command.required)) {
+        return refuse(StatementErrorCode::kBehind);
+      }
+      switch (statement.kind) {
+        case StatementKind::kBegin:
+          if (target.role != Role::kPrimary) {
+            return refuse(StatementErrorCode::kReadOnly);
+          }
+          this->transaction = true;
+          break;
+        case StatementKind::kBeginReadOnly:
+          this->transaction = true;
+          break;
+        case StatementKind::kRollback:
+          this->transaction = false;
+          this->writes = 0;
+          break;
+        case StatementKind::kSet:
+          this->variables[statement.name] = statement.data;
+          break;
+        case StatementKind::kPrepare:
+          this->prepared[statement.name] = statement.writes;
+          break;
+        case StatementKind::kReset:
+          this->variables.clear();
+          this->prepared.clear();
+          break;
+        default:
+          break;
+      }
+      if (!forwarded) {
+        result.state = this->State();
+        return result;
+      }
+      bool write = statement.kind == StatementKind::kWrite;
+      if (statement.kind == StatementKind::kExecute) {
+        const auto found = this->prepared.find(statement.name);
+        if (found == this->prepared.end()) {
+          return refuse(StatementErrorCode::kUnknownStatement);
+        }
+        write = found->second;
+      }
+      if (write && target.role != Role::kPrimary) {
+        return refuse(StatementErrorCode::kReadOnly);
+      }
+      Run run;
+      run.server = this->server;
+      run.id = statement.id;
+      run.kind = statement.kind;
+      run.name = statement.name;
+      run.required = command.required;
+      run.in_transaction = this->transaction;
+      run.connection = this->number;
+      run.variables = this->variables;
+      run.log_end = End(target);
+      this->database.runs.push_back(run);
+      if (statement.kind == StatementKind::kCommit) {
+        this->transaction = false;
+        if (this->writes > 0) {
+          this->database.Commit(this->server);
+        }
+        this->writes = 0;
+      } else if (write && this->transaction) {
+        ++this->writes;
+      } else if (write) {
+        this->database.Commit(this->server);
+      }
+      result.rows = {"row of " + this->server};
+      result.receipt = "receipt of " + this->server;
+      result.state = this->State();
+      return result;
+    }
+
+    TransactionState State() const {
+      return this->transaction ? TransactionState::kOpen : TransactionState::kNone;
+    }
+
+    SimulatedDatabase& database;
+    const std::string server;
+    BackendChannelEvents events;
+    TimePoint busy_until;
+    std::map<std::string, std::string> variables;
+    std::map<std::string, bool> prepared;
+    int number = 0;
+    int writes = 0;
+    bool transaction = false;
+    bool counted = false;
+    bool closed = false;
+  };
+
+  void Commit(const std::string& id) {
+    Server& primary = this->servers.at(id);
+    primary.log_terms.push_back(primary.term);
+    const std::size_t index = primary.log_terms.size();
+    for (auto& [other, server] : this->servers) {
+      if (other == id || server.isolated || primary.isolated) {
+        continue;
+      }
+      this->clock.RunAfter(server.lag, [this, id, other = other, index] {
+        const Server& from = this->servers.at(id);
+        Server& to = this->servers.at(other);
+        const bool follows = to.role == Role::kReplica && to.term == from.term;
+        if (follows && to.log_terms.size() < index && from.log_terms.size() >= index) {
+          to.log_terms.assign(from.log_terms.begin(),
+                              from.log_terms.begin() + static_cast<std::ptrdiff_t>(index));
+        }
+      });
+    }
+  }
+
+  ManualClock& clock;
+  std::string name;
+  int next_connection = 0;
+};
+
+}  // namespace sycamoredrum
--- a/src/relay_daemon/fleet_leader.cc
+++ b/src/relay_daemon/fleet_leader.cc
@@ -81,7 +81,11 @@
   };
   result.probe = [this](const BackendServerRecord& server,
                         const std::function<void(const BackendProbe&)>& done) {
-    this->platform.probe(server, [this, id = server.id, done](const BackendProbe& probe) {
+    this->platform.probe(server, [this, weak = std::weak_ptr<bool>(this->alive), id = server.id,
+                                  done](const BackendProbe& probe) {
+      if (weak.expired()) {
+        return;
+      }
       static constexpr const char* kOutcomes[] = {"answered", "busy", "not_listening", "no_answer"};
       const std::string outcome = kOutcomes[static_cast<int>(probe.outcome)];
       this->metrics.Increment(Metric::kProbes, {outcome});
@@ -101,7 +105,11 @@
   result.promote = [this](const std::string& database, const std::string& server,
                           std::uint64_t epoch, const std::function<void(PromoteOutcome)>& done) {
     this->platform.promote(database, server, this->self.member, epoch,
-                           [this, database, server, epoch, done](PromoteOutcome outcome) {
+                           [this, weak = std::weak_ptr<bool>(this->alive), database, server, epoch,
+                            done](PromoteOutcome outcome) {
+                             if (weak.expired()) {
+                               return;
+                             }
                              static constexpr const char* kOutcomes[] = {"accepted", "not_running",
                                                                          "not_done", "unknown"};
                              this->logger.Info("promotion",
@@ -270,6 +278,7 @@
   for (const auto& [name, database] : message.databases) {
     DatabaseReport converted;
     converted.generation = database.generation;
+    converted.revoked_generation = database.revoked_generation;
     if (echoed && database.newest) {
       converted.newest = PositionObservation{*database.newest, sent - database.newest_age};
     }
--- a/src/relay_daemon/fleet_member.cc
+++ b/src/relay_daemon/fleet_member.cc
@@ -279,6 +279,7 @@
   for (const auto& [name, report] : this->relay.Report()) {
     DatabaseReportMessage& database = message.databases[name];
     database.generation = report.generation;
+    database.revoked_generation = report.revoked_generation;
     if (report.newest) {
       database.newest = report.newest->position;
       database.newest_age = now - report.newest->as_of;
--- a/src/relay_daemon/fleet_messages.cc
+++ b/src/relay_daemon/fleet_messages.cc
@@ -90,7 +90,7 @@
 }
 
 Json ReportJson(const DatabaseReportMessage& report) {
-  Json json = {{"generation", report.generation}};
+  Json json = {{"generation", report.generation}, {"revoked", report.revoked_generation}};
   if (report.newest) {
     json["newest"] = PositionJson(*report.newest);
     json["newest_age"] = ToWire(report.newest_age);
@@ -107,6 +107,7 @@
 DatabaseReportMessage DecodeReport(const Json& json) {
   DatabaseReportMessage report;
   report.generation = json.at("generation").get<std::uint64_t>();
+  report.revoked_generation = json.at("revoked").get<std::uint64_t>();
   if (json.contains("newest")) {
     report.newest = ParsePosition(json.at("newest"));
     report.newest_age = FromWire(json.at("newest_age"));
--- a/src/relay_daemon/fleet_messages.h
+++ b/src/relay_daemon/fleet_messages.h
@@ -29,6 +29,7 @@
 /// A time as its sender tells it: how long before the sending it was.
 struct DatabaseReportMessage {
   std::uint64_t generation = 0;
+  std::uint64_t revoked_generation = 0;
   std::optional<LogPosition> newest;
   Duration newest_age{};
   std::optional<Duration> answered_age;
