Break the cycles of peer links when their loop has ended

Cause: a websocket's handlers own the link's state, and the state's requests own the websocket; on a loop that was stopped first, no close event takes them apart. Ruled out: PeerServer, whose handlers hold weak pointers. Change: EventLoop runs actions after its workers have ended; a link drops the handlers and requests there. SessionRelay drops its connections before its tables for the same reason.

--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -39,6 +39,11 @@
   });
 }
 
+void EventLoop::Impl::AtEnd(std::function<void()> action) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->at_end.push_back(std::move(action));
+}
+
 EventLoop::EventLoop(int worker_count) : impl(std::make_unique<Impl>()) {
   for (int i = 0; i < std::max(worker_count, 1); ++i) {
     pthread_t worker{};
@@ -91,6 +96,14 @@
   for (const pthread_t worker : std::exchange(this->impl->workers, {})) {
     pthread_join(worker, nullptr);
   }
+  std::vector<std::function<void()>> actions;
+  {
+    const std::lock_guard<std::mutex> lock(this->impl->mutex);
+    actions.swap(this->impl->at_end);
+  }
+  for (const std::function<void()>& action : actions) {
+    action();
+  }
 }
 
 }  // namespace sycamoredrum
--- a/src/net/event_loop_impl.h
+++ b/src/net/event_loop_impl.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <functional>
+#include <mutex>
 #include <vector>
 
 #include "sycamoredrum/event_loop.h"
@@ -16,6 +17,8 @@
 struct EventLoop::Impl {
   void WaitForSignal();
   void WaitForReloadSignal();
+  /// Runs `action` once the workers have ended, when no callback runs any more.
+  void AtEnd(std::function<void()> action);
 
   boost::asio::io_context io;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work =
@@ -25,6 +28,8 @@
   boost::asio::signal_set reload_signals{io};
   std::function<void()> on_reload;
   std::vector<pthread_t> workers;  ///< Empty after Join.
+  std::mutex mutex;                // Guards the member below.
+  std::vector<std::function<void()>> at_end;
 };
 
 }  // namespace sycamoredrum
--- a/src/net/peer_link.cc
+++ b/src/net/peer_link.cc
@@ -1,5 +1,6 @@
 #include "sycamoredrum/peer_link.h"
 
+#include <algorithm>
 #include <mutex>
 #include <utility>
 #include <vector>
@@ -67,6 +68,7 @@
   void CheckIdle(const ConnectionPointer& connection);
   void CheckHello(const ConnectionPointer& connection);
   static void Close(const ConnectionPointer& connection, status::value code);
+  void BreakCycles();
 
   EventLoop& loop;
   const PeerIdentity identity;
@@ -76,6 +78,7 @@
 
   std::mutex mutex;  // Guards the members below and all connections; not held in callbacks.
   ConnectionPointer current;
+  std::vector<std::weak_ptr<Connection>> connections;  ///< All that may still be open.
   std::map<std::uint64_t, PendingCall> pending;
   std::uint64_t next_id = 1;
   PeerStats stats;
@@ -91,6 +94,11 @@
     if (this->current == nullptr) {
       this->current = std::make_shared<Connection>();
       fresh = this->current;
+      this->connections.erase(
+          std::remove_if(this->connections.begin(), this->connections.end(),
+                         [](const std::weak_ptr<Connection>& old) { return old.expired(); }),
+          this->connections.end());
+      this->connections.push_back(fresh);
     } else if (this->current->ready) {
       this->SendLocked(id, call, this->current);
     }
@@ -379,6 +387,31 @@
   });
 }
 
+// The handlers of a websocket own the state, and requests of the state own the websocket. On a loop
+// that has ended no event takes them apart.
+void PeerLink::State::BreakCycles() {
+  std::vector<ConnectionPointer> open;
+  std::map<std::uint64_t, PendingCall> dropped;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    for (const std::weak_ptr<Connection>& weak : this->connections) {
+      if (ConnectionPointer connection = weak.lock()) {
+        open.push_back(std::move(connection));
+      }
+    }
+    dropped.swap(this->pending);
+    this->current.reset();
+  }
+  for (const ConnectionPointer& connection : open) {
+    if (connection->websocket != nullptr) {
+      connection->websocket->set_open_handler(nullptr);
+      connection->websocket->set_close_handler(nullptr);
+      connection->websocket->set_fail_handler(nullptr);
+      connection->websocket->set_message_handler(nullptr);
+    }
+  }
+}
+
 PeerLink::PeerLink(EventLoop& loop, PeerIdentity identity, PeerOptions options,
                    const Endpoint& endpoint)
     : state(std::make_shared<State>(loop, std::move(identity), options, endpoint)) {
@@ -386,6 +419,11 @@
   this->state->client.clear_access_channels(websocketpp::log::alevel::all);
   this->state->client.clear_error_channels(websocketpp::log::elevel::all);
   this->state->client.init_asio(&loop.Internal().io);
+  loop.Internal().AtEnd([weak = std::weak_ptr<State>(this->state)] {
+    if (const auto ended = weak.lock()) {
+      ended->BreakCycles();
+    }
+  });
 }
 
 PeerLink::~PeerLink() {
--- a/src/relay/session_relay.cc
+++ b/src/relay/session_relay.cc
@@ -232,7 +232,17 @@
     : impl(std::make_unique<Impl>(std::move(options), std::move(hooks), grants, clock, scheduler,
                                   std::move(random), logger, metrics)) {}
 
-SessionRelay::~SessionRelay() = default;
+// Statements that are under way refer to their server, and the server to them.
+SessionRelay::~SessionRelay() {
+  const auto servers = std::exchange(this->impl->servers, {});
+  for (const auto& [id, server] : servers) {
+    std::map<ConnectionId, std::unique_ptr<BackendSession>> sessions;
+    sessions.swap(server->sessions);
+    for (const auto& [connection, session] : sessions) {
+      session->Close();
+    }
+  }
+}
 
 void SessionRelay::SetConfiguration(std::shared_ptr<const RelayConfiguration> configuration) {
   this->impl->configuration = std::move(configuration);
