--- a/src/leader/fake_store_test.h
+++ b/src/leader/fake_store_test.h
@@ -19,10 +19,10 @@
  public:
   explicit FakeStore(ManualClock& clock) : clock(clock) {}
 
-  bool down = false;               ///< Calls are answered as unavailable.
-  std::set<int> cut;               ///< Clients whose calls get no answer.
-  int lost_answers = 0;            ///< Writes that take effect and whose answer is lost.
-  int late_writes = 0;             ///< Writes without an answer that take effect after `late_by`.
+  bool down = false;     ///< Calls are answered as unavailable.
+  std::set<int> cut;     ///< Clients whose calls get no answer.
+  int lost_answers = 0;  ///< Writes that take effect and whose answer is lost.
+  int late_writes = 0;   ///< Writes without an answer that take effect after `late_by`.
   Duration late_by = std::chrono::seconds(2);
   Duration delay = std::chrono::milliseconds(4);
 
--- a/src/leader/leadership.cc
+++ b/src/leader/leadership.cc
@@ -56,11 +56,13 @@
   if (!vacant) {
     return;
   }
+  // Nobody else takes the key of an earlier start of this process.
+  const bool contested = !this->key || !this->hooks.is_predecessor(this->key->value);
   const Duration wait = this->excluded_until - this->clock.Now();
   this->phase = Phase::kCandidate;
   ++this->attempt;
   const auto bound = static_cast<std::uint64_t>(this->options.max_candidate_delay.count()) + 1;
-  const Duration spread(static_cast<std::int64_t>(this->random() % bound));
+  const Duration spread(contested ? static_cast<std::int64_t>(this->random() % bound) : 0);
   this->Later(std::max(wait, Duration::zero()) + spread, [this] { this->Campaign(); });
 }
 
--- a/src/net/peer_link.cc
+++ b/src/net/peer_link.cc
@@ -314,6 +314,7 @@
 
 void PeerLink::State::OnTimeout(std::uint64_t id) {
   PendingCall call;
+  ConnectionPointer not_connected;
   bool unused = false;
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
@@ -323,6 +324,12 @@
     }
     call = std::move(found->second);
     this->pending.erase(found);
+    if (call.connection == nullptr && this->current != nullptr && !this->current->ready &&
+        this->current->websocket != nullptr) {
+      // The peer may have been away when the attempt began; the next one starts at once and not
+      // with the system's next repetition.
+      not_connected = this->current;
+    }
     if (call.connection != nullptr) {
       --call.connection->pending;
       if (call.connection->last_received < call.sent_at) {
@@ -334,6 +341,10 @@
   if (unused) {
     Close(call.connection, status::going_away);
   }
+  if (not_connected != nullptr) {
+    this->OnClosed(not_connected, "not connected in time");
+    Close(not_connected, status::going_away);
+  }
   const PeerError error =
       call.connection == nullptr ? PeerError::kNotSent : PeerError::kMaybeReceived;
   call.callback(Failure(error, "no answer from " + this->endpoint.ToString() + " in time"));
--- a/src/relay/relay_state.h
+++ b/src/relay/relay_state.h
@@ -27,7 +27,7 @@
   TimePoint behind_until;       ///< It lacked a required position.
   TimePoint unreachable_until;
   std::optional<TimePoint> failing_since;  ///< No answer since then, though it was asked.
-  double demand = 0;               ///< Moving average of the statements that run or wait.
+  double demand = 0;                       ///< Moving average of the statements that run or wait.
 };
 
 struct RelayDatabase {
--- a/src/relay/simulated_database_test.h
+++ b/src/relay/simulated_database_test.h
@@ -23,7 +23,7 @@
     std::string server;
     std::string id;
     StatementKind kind = StatementKind::kInvalid;
-    std::string name;                            ///< Of a prepared statement, on the connection.
+    std::string name;  ///< Of a prepared statement, on the connection.
     std::optional<LogPosition> required;
     bool in_transaction = false;
     int connection = 0;
