Give every process a least share of connections and close unused ones

Change: shares follow the demand alone, with a least share of two that may exceed the cap; connections that nobody uses are closed after 10 s, after 0.8 s where the share is the least.

--- a/src/include/sycamoredrum/connection_pool.h
+++ b/src/include/sycamoredrum/connection_pool.h
@@ -108,6 +108,9 @@
   /// they are idle.
   void SetLimit(int new_limit);
 
+  /// Closes connections that nobody has leased for `limit`.
+  void CloseUnused(Duration limit);
+
   /// While set, no lease is granted, waiting requests are refused and connections are closed as
   /// soon as they are released.
   void SetLeaving(bool value);
@@ -126,6 +129,7 @@
     std::uint64_t lease = 0;  ///< Number of the present lease; 0: idle.
     std::string caller_group;
     TimePoint leased_at;
+    TimePoint idle_since;
     bool closed_by_server = false;
   };
   struct Waiter {
--- a/src/include/sycamoredrum/connection_shares.h
+++ b/src/include/sycamoredrum/connection_shares.h
@@ -9,8 +9,12 @@
 /// its connections open until the server notices, and its successor needs others meanwhile.
 inline constexpr double kSharedPartOfCap = 0.85;
 
-/// Splits the connections of one backend server between processes. Each gets one, as far as they
-/// suffice, and the rest follows the demand: the mean number of statements that run or wait there.
+/// Share that every process gets, even if the shares then exceed the cap. With many processes each
+/// needs a connection only now and then, and closes it soon; the server refuses the few too many.
+inline constexpr int kLeastShare = 2;
+
+/// Splits the connections of one backend server between processes by their demand, the mean number
+/// of statements that run or wait there.
 /// Load pattern: one process of a small data centre takes as many callers as several of a large
 /// one.
 std::map<std::string, int> ShareConnections(int cap, const std::map<std::string, double>& demand);
--- a/src/include/sycamoredrum/session_relay.h
+++ b/src/include/sycamoredrum/session_relay.h
@@ -72,6 +72,9 @@
   static constexpr Duration kUnreachablePause = std::chrono::milliseconds(500);
   /// Connections that a process opens to a backend server before it knows its share.
   static constexpr int kInitialShare = 2;
+  /// Unused connections are closed after this time, sooner to servers whose connections are scarce.
+  static constexpr Duration kUnusedLimit = std::chrono::seconds(10);
+  static constexpr Duration kScarceUnusedLimit = std::chrono::milliseconds(800);
   /// Attempts of one statement, the first one included.
   static constexpr int kMaxAttempts = 6;
   /// Part of the latency objective that a statement may wait for a connection.
--- a/src/pool/connection_pool.cc
+++ b/src/pool/connection_pool.cc
@@ -53,6 +53,7 @@
     this->leases_by_group.erase(group);
   }
   connection.lease = 0;
+  connection.idle_since = this->clock.Now();
   const bool surplus = this->Total() > static_cast<std::size_t>(this->EffectiveLimit());
   const bool usable = state == ConnectionState::kClean && !connection.closed_by_server;
   if (!usable || surplus || this->leaving) {
@@ -83,6 +84,20 @@
   this->Dispatch();
 }
 
+void ConnectionPool::CloseUnused(Duration limit) {
+  const TimePoint now = this->clock.Now();
+  std::vector<ConnectionId> unused;
+  for (const ConnectionId connection : this->idle) {
+    if (now - this->connections.at(connection).idle_since >= limit) {
+      unused.push_back(connection);
+    }
+  }
+  for (const ConnectionId connection : unused) {
+    this->idle.erase(std::find(this->idle.begin(), this->idle.end(), connection));
+    this->Close(connection);
+  }
+}
+
 void ConnectionPool::SetLeaving(bool value) {
   this->leaving = value;
   if (value) {
@@ -204,7 +219,9 @@
   }
   this->last_open = result.status;
   if (opened) {
-    this->connections.emplace(result.connection, Connection{});
+    Connection connection;
+    connection.idle_since = this->clock.Now();
+    this->connections.emplace(result.connection, connection);
     this->idle.push_back(result.connection);
     this->CloseSurplusIdle();
   } else if (result.status == OpenStatus::kRefused) {
--- a/src/pool/connection_pool_test.cc
+++ b/src/pool/connection_pool_test.cc
@@ -266,5 +266,42 @@
   RC_ASSERT(h.answers.size() == static_cast<std::size_t>(h.next_request));
 }
 
+// Guards against connections that a process keeps although others need them.
+TEST(ConnectionPoolTest, UnusedConnectionsAreClosedAfterALimit) {
+  PoolHarness h(2);
+  const int kept = h.Acquire("orders");
+  const int unused = h.Acquire("orders");
+  h.AnswerAllOpens(OpenStatus::kOpened);
+  h.pool.Release(h.answers.at(unused).lease, ConnectionState::kClean);
+  h.clock.Advance(milliseconds(900));
+  h.pool.CloseUnused(seconds(1));
+  EXPECT_EQ(h.pool.Total(), 2u);
+  h.clock.Advance(milliseconds(200));
+  h.pool.CloseUnused(seconds(1));
+  EXPECT_EQ(h.pool.Total(), 1u);
+  EXPECT_EQ(h.closed.count(h.answers.at(kept).lease.connection), 0u) << "a leased connection stays";
+}
+
+// Load pattern: sessions with different variables share connections. Setting variables again costs
+// a round trip, so a session gets the connection that has them already.
+TEST(ConnectionPoolTest, TheCheapestIdleConnectionIsLeased) {
+  PoolHarness h(3);
+  std::vector<int> requests;
+  for (int i = 0; i < 3; ++i) {
+    requests.push_back(h.Acquire("orders"));
+  }
+  h.AnswerAllOpens(OpenStatus::kOpened);
+  const ConnectionId wanted = h.answers.at(requests[1]).lease.connection;
+  for (const int request : requests) {
+    h.pool.Release(h.answers.at(request).lease, ConnectionState::kClean);
+  }
+  LeaseRequest request{"orders", 1, h.clock.Now() + seconds(1)};
+  request.cost = [wanted](ConnectionId connection) { return connection == wanted ? 0 : 2; };
+  ConnectionId leased = 0;
+  h.pool.Acquire(request,
+                 [&leased](const LeaseAnswer& answer) { leased = answer.lease.connection; });
+  EXPECT_EQ(leased, wanted);
+}
+
 }  // namespace
 }  // namespace sycamoredrum
--- a/src/relay/session_relay.cc
+++ b/src/relay/session_relay.cc
@@ -344,6 +344,8 @@
   for (const auto& [id, server] : this->impl->servers) {
     const auto wanted = static_cast<double>(server->pool->Leased() + server->pool->Waiting());
     server->demand += (wanted - server->demand) * kDemandSmoothing;
+    const bool scarce = this->impl->Limit(*server) <= kInitialShare;
+    server->pool->CloseUnused(scarce ? kScarceUnusedLimit : kUnusedLimit);
   }
   this->GrantsChanged();
 }
--- a/src/relay_daemon/relay_daemon.cc
+++ b/src/relay_daemon/relay_daemon.cc
@@ -22,7 +22,7 @@
 constexpr Duration kSettingsCheckInterval = std::chrono::seconds(2);
 // Least time between two looks at the backend servers' records. They change with every heartbeat of
 // a server, and each look is a call with a price.
-constexpr Duration kServersWatchInterval = std::chrono::milliseconds(700);
+constexpr Duration kServersWatchInterval = std::chrono::milliseconds(1000);
 // The records of another process are used when the store was away for this long.
 constexpr Duration kServersStaleAfter = std::chrono::seconds(2);
 // A process without grants reports itself ready after this time all the same: it can serve reads.
