--- a/src/include/sycamoredrum/leadership.h
+++ b/src/include/sycamoredrum/leadership.h
@@ -17,8 +17,8 @@
   std::string incarnation;  ///< Differs for every start of the process.
   std::string value;        ///< Value of the key while this process leads; unique to this start.
   /// Time to live of the store's lease, and how long after the last confirmation the leader acts.
-  Duration lease = std::chrono::seconds(4);
-  Duration renew_interval = std::chrono::seconds(1);
+  Duration lease = std::chrono::seconds(3);
+  Duration renew_interval = std::chrono::milliseconds(750);
   /// Candidates wait a random time up to this, so that not all of them write at once.
   Duration max_candidate_delay = std::chrono::milliseconds(150);
 };
