--- a/src/relay/caller_session.cc
+++ b/src/relay/caller_session.cc
@@ -284,7 +284,8 @@
   RelayServer* server = this->relay.FindServer(server_id);
   const TimePoint now = this->Now();
   if (server->unreachable_until > now && this->attempt->needs_primary) {
-    this->RetryLater(std::min(server->unreachable_until - now, kPrimaryRetryDelay),
+    --this->attempt->tries;
+    this->RetryLater(std::min(server->unreachable_until - now, kCapRetryDelay),
                      "the primary is unreachable");
     return;
   }
@@ -354,7 +355,11 @@
       break;
   }
   this->attempt->tried.insert(server_id);
-  this->RetryLater(this->attempt->needs_primary ? kPrimaryRetryDelay : Duration::zero(),
+  if (this->attempt->needs_primary) {
+    // The primary may come back or be replaced within the statement's time limit.
+    --this->attempt->tries;
+  }
+  this->RetryLater(this->attempt->needs_primary ? kCapRetryDelay : Duration::zero(),
                    "no connection could be opened");
 }
 
--- /dev/null
+++ b/src/relay_daemon/fleet_messages_test.cc
@@ -0,0 +1,136 @@
+#include "fleet_messages.h"
+
+#include <gtest/gtest.h>
+
+#include "sycamoredrum/relay_settings.h"
+
+namespace sycamoredrum {
+namespace {
+
+using std::chrono::milliseconds;
+
+TEST(FleetMessagesTest, HeartbeatsKeepTheirContent) {
+  HeartbeatMessage message;
+  message.member = "m1";
+  message.epoch = 7;
+  message.configuration = 12;
+  message.echoed_stamp = 123456789;
+  message.echo_held = milliseconds(40);
+  DatabaseReportMessage report;
+  report.generation = 3;
+  report.revoked_generation = 2;
+  report.newest = LogPosition{4, 99};
+  report.newest_age = milliseconds(15);
+  report.answered_age = milliseconds(8);
+  report.failing_for = milliseconds(700);
+  message.databases["orders"] = report;
+  message.unreachable = {"s1"};
+  message.demand = {{"s2", 1.5}};
+  const auto parsed = ParseHeartbeat(ToJson(message));
+  ASSERT_TRUE(parsed);
+  EXPECT_EQ(parsed->epoch, 7U);
+  EXPECT_EQ(parsed->echo_held, milliseconds(40));
+  const DatabaseReportMessage& database = parsed->databases.at("orders");
+  EXPECT_EQ(database.revoked_generation, 2U);
+  EXPECT_EQ(database.newest, (LogPosition{4, 99}));
+  EXPECT_EQ(database.answered_age, Duration(milliseconds(8)));
+  EXPECT_EQ(database.failing_for, Duration(milliseconds(700)));
+  EXPECT_EQ(parsed->unreachable, message.unreachable);
+  EXPECT_EQ(parsed->demand, message.demand);
+}
+
+TEST(FleetMessagesTest, AnswersAndStateKeepTheirContent) {
+  HeartbeatAnswer answer;
+  answer.epoch = 7;
+  answer.stamp = 5;
+  answer.configuration = 3;
+  answer.primaries["orders"] = PrimaryRecord{"s1", 4, true};
+  answer.positions["orders"] = PositionMessage{4, LogPosition{2, 8}, milliseconds(20)};
+  answer.connections["s1"] = 6;
+  const auto parsed = ParseHeartbeatAnswer(ToJson(answer));
+  ASSERT_TRUE(parsed);
+  EXPECT_EQ(parsed->primaries, answer.primaries);
+  EXPECT_EQ(parsed->positions.at("orders").age, Duration(milliseconds(20)));
+  EXPECT_EQ(parsed->connections, answer.connections);
+
+  SharedState state;
+  state.leader = MemberRecord{"m1", "a", "dc", Endpoint{"10.0.0.1", 80}};
+  state.epoch = 9;
+  state.configuration = 3;
+  state.configuration_text = "{\"version\":3}";
+  BackendServerRecord server;
+  server.id = "s1";
+  server.database = "orders";
+  server.endpoint = Endpoint{"10.0.0.2", 81};
+  server.state = BackendServerState::kDraining;
+  server.started_at_ms = 1765000000000;
+  state.servers["s1"] = server;
+  const auto shared = ParseSharedState(ToJson(state));
+  ASSERT_TRUE(shared);
+  EXPECT_EQ(shared->servers, state.servers);
+  EXPECT_EQ(shared->leader->endpoint, (Endpoint{"10.0.0.1", 80}));
+  EXPECT_EQ(shared->configuration_text, state.configuration_text);
+}
+
+TEST(FleetMessagesTest, UnreadableMessagesAreDropped) {
+  for (const char* text : {"", "null", "[]", "{}", "{\"member\":3}", "\xff"}) {
+    EXPECT_FALSE(ParseHeartbeat(text)) << text;
+    EXPECT_FALSE(ParseHeartbeatAnswer(text)) << text;
+    EXPECT_FALSE(ParseRevocation(text)) << text;
+    EXPECT_FALSE(ParseRevocationAnswer(text)) << text;
+    EXPECT_FALSE(ParseSharedState(text)) << text;
+    EXPECT_FALSE(ParseLeaderNotice(text)) << text;
+    EXPECT_FALSE(ParseMemberRecord(text)) << text;
+    EXPECT_FALSE(ParsePrimaryRecord(text)) << text;
+  }
+}
+
+constexpr const char* kSettings = R"(member-id = m1
+data-centre = dc1
+caller-address = 10.0.0.1:8000
+ready-address = 10.0.0.1:8001
+peer-address = 10.0.0.1:8002
+metrics-address = 10.0.0.1:8003
+store-address = 10.9.0.1:9000
+duty-address = 10.9.0.2:9000
+seeds = 10.0.0.1:8002,10.0.0.2:8002
+stop-grace = 6s
+)";
+
+std::optional<std::string> NoEnvironment(const std::string&) { return std::nullopt; }
+
+TEST(RelaySettingsTest, FlagsGoBeforeEnvironmentBeforeFile) {
+  Findings findings;
+  const EnvironmentReader environment = [](const std::string& name) -> std::optional<std::string> {
+    if (name == "SYCAMOREDRUM_FLEET_KEY") {
+      return "a key of at least sixteen";
+    }
+    return name == "SYCAMOREDRUM_STOP_GRACE" ? std::optional<std::string>("7s") : std::nullopt;
+  };
+  const auto settings =
+      ParseRelaySettings({"--data-centre=dc9"}, environment, std::string(kSettings), findings);
+  ASSERT_TRUE(settings) << findings.ToString();
+  EXPECT_EQ(settings->member_id, "m1");
+  EXPECT_EQ(settings->data_centre, "dc9");
+  EXPECT_EQ(settings->stop_grace, Duration(std::chrono::seconds(7)));
+  EXPECT_EQ(settings->seeds.size(), 2U);
+}
+
+TEST(RelaySettingsTest, AllProblemsAreReportedTogether) {
+  Findings findings;
+  std::string text = kSettings;
+  text += "max-sessions = many\nfleet-key = short\n";
+  text.replace(text.find("10.9.0.1:9000"), 13, "nowhere");
+  EXPECT_FALSE(ParseRelaySettings({}, NoEnvironment, text, findings));
+  EXPECT_EQ(findings.Items().size(), 3U) << findings.ToString();
+}
+
+TEST(RelaySettingsTest, UnknownLinesOfTheFileAreReported) {
+  Findings findings;
+  EXPECT_FALSE(
+      ParseRelaySettings({}, NoEnvironment, std::string(kSettings) + "unknown = 1\n", findings));
+  EXPECT_EQ(findings.Items().at(0).place, "settings file");
+}
+
+}  // namespace
+}  // namespace sycamoredrum
--- a/src/relay_daemon/relay_daemon.cc
+++ b/src/relay_daemon/relay_daemon.cc
@@ -313,7 +313,15 @@
   this->callers[number] = this->platform.serve_caller(
       std::move(stream),
       [this](const std::string& name, CallerSessionHooks hooks) {
-        return this->relay.Open(name, std::move(hooks));
+        std::shared_ptr<CallerSession> session = this->relay.Open(name, std::move(hooks));
+        if (!session) {
+          this->logger.Warning(
+              "session_refused",
+              {{"route", name},
+               {"configuration", absl::StrCat(this->relay.Configuration()->version)},
+               {"reason", "no route has this name"}});
+        }
+        return session;
       },
       [this, number] {
         // The connection may be on the stack.
--- a/testsuite/command_line/operator_pages_test.cc
+++ b/testsuite/command_line/operator_pages_test.cc
@@ -3,8 +3,10 @@
 
 #include <fstream>
 #include <iterator>
+#include <vector>
 
 #include "sycamoredrum/metrics.h"
+#include "sycamoredrum/relay_settings.h"
 #include "sycamoredrum/settings.h"
 
 namespace sycamoredrum {
@@ -39,7 +41,9 @@
 // Guards against a setting, or a default, that the page does not give.
 TEST(OperatorPagesTest, SettingsPageListsEverySetting) {
   const std::string page = ReadPage("settings.md");
-  for (const SettingInfo& info : SettingTable()) {
+  std::vector<SettingInfo> settings = SettingTable();
+  settings.insert(settings.end(), RelaySettingTable().begin(), RelaySettingTable().end());
+  for (const SettingInfo& info : settings) {
     const std::string row = FindRow(page, "--" + std::string(info.flag));
     EXPECT_NE(row, "") << info.flag;
     EXPECT_THAT(row, HasSubstr("`" + info.EnvironmentVariable() + "`"));
