--- a/src/include/sycamoredrum/log.h
+++ b/src/include/sycamoredrum/log.h
@@ -25,6 +25,9 @@
   std::string value;
 };
 
+/// Whole milliseconds of a duration, as the text of a log field.
+std::string LogMilliseconds(Duration duration);
+
 /// Writes one structured line for each change of state. Thread-safe. Lines of one event are limited
 /// to kMaxLinesPerSecond; the next line that passes says how many were suppressed.
 class Logger {
--- a/src/include/sycamoredrum/setting_reader.h
+++ b/src/include/sycamoredrum/setting_reader.h
@@ -82,6 +82,11 @@
     return choices.begin()->second;
   }
 
+  /// Adds a finding for each listener that has the address of an earlier one.
+  void RequireDistinct(const std::vector<std::pair<std::string, Endpoint>>& listeners);
+  /// Adds a finding if the text of a setting that is given has fewer bytes.
+  void RequireBytes(const std::string& flag, const std::string& text, std::size_t least);
+
   /// Adds a finding at the place of the setting.
   void Add(const std::string& flag, const std::string& reason);
 
--- /dev/null
+++ b/src/leader/primary_replacement.cc
@@ -0,0 +1,384 @@
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "sycamoredrum/primary_authority.h"
+
+namespace sycamoredrum {
+
+// A former leader revoked the generation and could not finish the change. The server stays, under a
+// generation that members accept.
+void PrimaryAuthority::RenewGeneration(const std::string& name, Database& database) {
+  database.target = database.record.server;
+  database.discovered = true;
+  this->Enter(name, database, Phase::kRecord);
+  this->Record(name, database);
+}
+
+void PrimaryAuthority::Replace(const std::string& name, Database& database, bool planned,
+                               const std::string& reason) {
+  this->logger.Info("primary_replacement",
+                    {{"database", name},
+                     {"server", database.record.server},
+                     {"generation", absl::StrCat(database.record.generation)},
+                     {"planned", planned ? "true" : "false"},
+                     {"reason", reason},
+                     {"silence_ms", LogMilliseconds(this->clock.Now() - database.last_answer)}});
+  database.planned = planned;
+  database.resume_promotion = false;
+  database.old_server = database.record.server;
+  database.final_position.reset();
+  database.candidates.clear();
+  ++database.replacement;
+  this->Enter(name, database, Phase::kRevoke);
+  this->AwaitAllMembers(database);
+  this->SendRevocations(name, database);
+  if (!planned) {
+    this->ProbeCandidates(name, database);
+  }
+}
+
+void PrimaryAuthority::AwaitAllMembers(Database& database) const {
+  database.awaiting.clear();
+  for (const auto& [member, state] : this->members) {
+    database.awaiting.insert(member);
+  }
+}
+
+// Repeated until every member has acknowledged or its grant has expired; a member that restarts
+// answers a later request.
+void PrimaryAuthority::SendRevocations(const std::string& name, Database& database) {
+  const std::uint64_t generation =
+      database.resume_promotion ? database.record.generation - 1 : database.record.generation;
+  database.next_call = this->clock.Now() + 2 * kProbeInterval;
+  const std::set<std::string> targets = database.awaiting;
+  for (const std::string& member : targets) {
+    this->hooks.revoke(
+        member, this->epoch, name, generation, database.planned,
+        [this, name, member, step = database.step, weak = std::weak_ptr<bool>(this->alive)](
+            bool acknowledged, const std::optional<LogPosition>& newest) {
+          if (!weak.expired()) {
+            this->OnRevocation(name, step, member, acknowledged, newest);
+          }
+        });
+  }
+}
+
+void PrimaryAuthority::OnRevocation(const std::string& name, std::uint64_t step,
+                                    const std::string& member, bool acknowledged,
+                                    const std::optional<LogPosition>& newest) {
+  Database* database = this->AtStep(name, step);
+  if (database == nullptr || !acknowledged) {
+    return;
+  }
+  database->awaiting.erase(member);
+  if (newest && (!database->final_position || *database->final_position < *newest)) {
+    database->final_position = newest;
+  }
+  this->CheckRevocations(name, *database);
+}
+
+void PrimaryAuthority::CheckRevocations(const std::string& name, Database& database) {
+  if (database.phase != Phase::kRevoke) {
+    return;
+  }
+  const TimePoint now = this->clock.Now();
+  for (auto member = database.awaiting.begin(); member != database.awaiting.end();) {
+    const auto state = this->members.find(*member);
+    const bool expired = state == this->members.end() || now >= this->GrantsEnd(state->second);
+    member = expired ? database.awaiting.erase(member) : std::next(member);
+  }
+  if (!database.awaiting.empty()) {
+    if (database.planned && now - database.phase_started > kPlannedRevocationLimit) {
+      this->GiveUpHandOver(name, database);
+    } else if (now >= database.next_call) {
+      this->SendRevocations(name, database);
+    }
+    return;
+  }
+  if (database.resume_promotion) {
+    this->Enter(name, database, Phase::kPromote);
+    this->Promote(name, database);
+    return;
+  }
+  this->Enter(name, database, Phase::kSelect);
+  if (database.planned) {
+    // What the candidates said before the last commit is out of date.
+    database.candidates.clear();
+    this->ProbeCandidates(name, database);
+  }
+  this->Select(name, database);
+}
+
+// Asks the servers of the database for the end of their log; the old primary only if it still runs.
+// Answers that arrive while the members are still asked for their grants are kept for the
+// selection.
+void PrimaryAuthority::ProbeCandidates(const std::string& name, Database& database) {
+  database.next_call = this->clock.Now() + kProbeInterval;
+  for (const BackendServerRecord* server : this->ServersOf(name)) {
+    const bool final_end_wanted = database.phase == Phase::kSelect && database.planned;
+    if (server->id == database.old_server && !final_end_wanted) {
+      continue;
+    }
+    this->hooks.probe(*server,
+                      [this, name, id = server->id, replacement = database.replacement,
+                       weak = std::weak_ptr<bool>(this->alive)](const BackendProbe& probe) {
+                        if (!weak.expired()) {
+                          this->OnCandidate(name, replacement, id, probe);
+                        }
+                      });
+  }
+}
+
+void PrimaryAuthority::OnCandidate(const std::string& name, std::uint64_t replacement,
+                                   const std::string& server, const BackendProbe& probe) {
+  const auto found = this->databases.find(name);
+  if (found == this->databases.end() || found->second.replacement != replacement) {
+    return;
+  }
+  Database& database = found->second;
+  const bool checking = database.phase == Phase::kServing && database.check_started;
+  if (!checking && database.phase != Phase::kRevoke && database.phase != Phase::kSelect) {
+    return;
+  }
+  if (server != database.old_server) {
+    database.candidates[server] = probe;
+  } else if (!checking && probe.outcome == ProbeOutcome::kAnswered) {
+    // Nobody may write any more, so this is the end of its log.
+    database.final_position =
+        std::max(database.final_position.value_or(LogPosition{}), probe.received);
+  }
+}
+
+void PrimaryAuthority::Select(const std::string& name, Database& database) {
+  const TimePoint now = this->clock.Now();
+  const Duration elapsed = now - database.phase_started;
+  const BackendServerRecord* best = nullptr;
+  const BackendProbe* best_probe = nullptr;
+  bool complete = true;
+  for (const BackendServerRecord* server : this->ServersOf(name)) {
+    if (server->id == database.old_server || server->state != BackendServerState::kReady ||
+        database.failed_targets.count(server->id) != 0) {
+      continue;
+    }
+    const auto answer = database.candidates.find(server->id);
+    if (answer == database.candidates.end()) {
+      complete = false;
+      continue;
+    }
+    if (answer->second.outcome != ProbeOutcome::kAnswered) {
+      continue;
+    }
+    const bool better = best == nullptr || best_probe->received < answer->second.received ||
+                        (best_probe->received == answer->second.received &&
+                         this->MembersMissing(server->id) < this->MembersMissing(best->id));
+    if (better) {
+      best = server;
+      best_probe = &answer->second;
+    }
+  }
+  if (database.planned) {
+    const bool caught_up = best != nullptr && database.final_position &&
+                           best_probe->received >= *database.final_position;
+    if (caught_up) {
+      this->Choose(name, database, best->id);
+    } else if (elapsed > kCatchUpLimit) {
+      this->GiveUpHandOver(name, database);
+    } else if (now >= database.next_call) {
+      this->ProbeCandidates(name, database);
+      // A server that has all commits is sought in short steps, because nobody can write meanwhile.
+      database.next_call = now + kProbeInterval / 3;
+    }
+    return;
+  }
+  // Nothing that a caller was told is lost with a server that has the newest position known.
+  const bool has_all = best != nullptr && database.final_position &&
+                       best_probe->received >= *database.final_position;
+  if (best != nullptr && (complete || has_all || elapsed > kSelectionLimit)) {
+    this->Choose(name, database, best->id);
+  } else if (now >= database.next_call) {
+    if (elapsed > kSelectionLimit) {
+      database.failed_targets.clear();
+    }
+    this->ProbeCandidates(name, database);
+  }
+}
+
+void PrimaryAuthority::Choose(const std::string& name, Database& database,
+                              const std::string& target) {
+  const BackendProbe& probe = database.candidates[target];
+  this->logger.Info(
+      "primary_chosen",
+      {{"database", name},
+       {"server", target},
+       {"position", probe.received.ToString()},
+       {"final_position",
+        database.final_position ? database.final_position->ToString() : "unknown"},
+       {"newest_observed", database.newest ? database.newest->position.ToString() : "unknown"}});
+  database.target = target;
+  this->Enter(name, database, Phase::kRecord);
+  this->Record(name, database);
+}
+
+void PrimaryAuthority::GiveUpHandOver(const std::string& name, Database& database) {
+  this->logger.Warning("hand_over_given_up",
+                       {{"database", name}, {"server", database.record.server}});
+  database.hand_over_not_before = this->clock.Now() + kHandOverPause;
+  // The generation was given back by all members, so the grants resume under a new one.
+  database.target = database.record.server;
+  this->Enter(name, database, Phase::kRecord);
+  this->Record(name, database);
+}
+
+// Stores the next generation. A server that was found to lead may serve at once; one that was
+// chosen must be promoted first.
+void PrimaryAuthority::Record(const std::string& name, Database& database) {
+  const TimePoint now = this->clock.Now();
+  if (database.call_under_way || now < database.next_call) {
+    return;
+  }
+  database.call_under_way = true;
+  const PrimaryRecord record{database.target, database.record.generation + 1, database.discovered};
+  this->hooks.store_record(
+      name, record, database.record_revision,
+      [this, name, record, step = database.step, weak = std::weak_ptr<bool>(this->alive)](
+          PlatformStatus status, std::uint64_t revision) {
+        Database* current = weak.expired() ? nullptr : this->AtStep(name, step);
+        if (current != nullptr) {
+          this->OnRecord(name, *current, record, status, revision);
+        }
+      });
+}
+
+void PrimaryAuthority::OnRecord(const std::string& name, Database& database,
+                                const PrimaryRecord& record, PlatformStatus status,
+                                std::uint64_t revision) {
+  database.call_under_way = false;
+  if (status != PlatformStatus::kOk) {
+    if (status == PlatformStatus::kConflict && revision > 0) {
+      // Only this process writes the record, so an earlier write of its own took effect.
+      database.record_revision = revision;
+    }
+    this->logger.Warning("primary_record_failed",
+                         {{"database", name},
+                          {"server", record.server},
+                          {"generation", absl::StrCat(record.generation)}});
+    database.next_call = this->clock.Now() + kProbeInterval;
+    return;
+  }
+  database.record = record;
+  database.record_revision = revision;
+  database.newest.reset();
+  if (std::exchange(database.discovered, false)) {
+    this->Enter(name, database, Phase::kServing);
+    this->hooks.nudge();
+    return;
+  }
+  this->Enter(name, database, Phase::kPromote);
+  this->Promote(name, database);
+}
+
+// Spares a later leader the repetition of the promotion; nothing depends on it.
+void PrimaryAuthority::StoreServing(const std::string& name, const Database& database) {
+  this->hooks.store_record(
+      name, database.record, database.record_revision,
+      [this, name, generation = database.record.generation,
+       weak = std::weak_ptr<bool>(this->alive)](PlatformStatus status, std::uint64_t revision) {
+        if (weak.expired()) {
+          return;
+        }
+        const auto found = this->databases.find(name);
+        const bool current =
+            found != this->databases.end() && found->second.record.generation == generation;
+        if (current && status == PlatformStatus::kOk) {
+          found->second.record_revision = revision;
+        }
+      });
+}
+
+void PrimaryAuthority::Promote(const std::string& name, Database& database) {
+  const TimePoint now = this->clock.Now();
+  if (database.call_under_way || now < database.next_call) {
+    return;
+  }
+  database.call_under_way = true;
+  ++this->promotes_under_way;
+  this->hooks.promote(name, database.target, this->epoch,
+                      [this, name, step = database.step,
+                       weak = std::weak_ptr<bool>(this->alive)](PromoteOutcome outcome) {
+                        if (weak.expired()) {
+                          return;
+                        }
+                        --this->promotes_under_way;
+                        if (Database* current = this->AtStep(name, step)) {
+                          current->call_under_way = false;
+                          this->OnPromote(name, *current, outcome);
+                        }
+                      });
+}
+
+void PrimaryAuthority::OnPromote(const std::string& name, Database& database,
+                                 PromoteOutcome outcome) {
+  switch (outcome) {
+    case PromoteOutcome::kAccepted:
+      this->Enter(name, database, Phase::kConfirm);
+      this->Confirm(name, database);
+      return;
+    case PromoteOutcome::kNotRunning:
+      database.failed_targets.insert(database.target);
+      database.candidates.clear();
+      database.planned = false;
+      this->Enter(name, database, Phase::kSelect);
+      this->ProbeCandidates(name, database);
+      return;
+    case PromoteOutcome::kNotDone:
+    case PromoteOutcome::kUnknown:
+      // The same server is named again: the first call may still take effect.
+      database.next_call = this->clock.Now() + kProbeInterval;
+      return;
+  }
+}
+
+void PrimaryAuthority::Confirm(const std::string& name, Database& database) {
+  const TimePoint now = this->clock.Now();
+  if (now - database.phase_started > kConfirmationLimit) {
+    this->Enter(name, database, Phase::kPromote);
+    return;
+  }
+  if (database.call_under_way || now < database.next_call) {
+    return;
+  }
+  const BackendServerRecord* server = this->Find(database.target);
+  if (server == nullptr) {
+    return;
+  }
+  database.call_under_way = true;
+  this->hooks.probe(*server, [this, name, step = database.step,
+                              weak = std::weak_ptr<bool>(this->alive)](const BackendProbe& probe) {
+    Database* current = weak.expired() ? nullptr : this->AtStep(name, step);
+    if (current != nullptr) {
+      current->call_under_way = false;
+      this->OnConfirm(name, *current, probe);
+    }
+  });
+}
+
+void PrimaryAuthority::OnConfirm(const std::string& name, Database& database,
+                                 const BackendProbe& probe) {
+  if (probe.outcome != ProbeOutcome::kAnswered || probe.role != Role::kPrimary) {
+    database.next_call = this->clock.Now() + kProbeInterval / 5;
+    return;
+  }
+  const BackendServerRecord* old_server = this->Find(database.old_server);
+  if (old_server != nullptr && old_server->id != database.target) {
+    this->hooks.demote(*old_server, probe.term);
+  }
+  database.record.serving = true;
+  database.hand_over_not_before = this->clock.Now() + kHandOverPause;
+  this->Enter(name, database, Phase::kServing);
+  this->StoreServing(name, database);
+  this->hooks.nudge();
+}
+
+}  // namespace sycamoredrum
--- /dev/null
+++ b/src/leader/primary_watch.cc
@@ -0,0 +1,182 @@
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "sycamoredrum/primary_authority.h"
+
+namespace sycamoredrum {
+
+void PrimaryAuthority::Watch(const std::string& name, Database& database) {
+  const TimePoint now = this->clock.Now();
+  const BackendServerRecord* primary = this->Find(database.record.server);
+  if (primary == nullptr) {
+    this->WatchMissing(name, database);
+    return;
+  }
+  database.missing_since.reset();
+  const bool draining = primary->state == BackendServerState::kDraining;
+  if (draining && !database.draining_since) {
+    database.draining_since = now;
+  } else if (!draining) {
+    database.draining_since.reset();
+  }
+  const std::string death = this->ReasonOfDeath(name, database);
+  if (!death.empty()) {
+    if (this->MayRevoke()) {
+      this->Replace(name, database, false, death);
+    }
+    return;
+  }
+  const Duration drained = draining ? now - *database.draining_since : Duration::zero();
+  if (drained >= kStopUseAfter || (drained >= kForceHandOverAfter && this->MayRevoke())) {
+    this->Replace(name, database, false, "the primary is draining and must not be used any more");
+  } else if (draining || this->ShouldHandOver(database)) {
+    this->ConsiderHandOver(
+        name, database,
+        draining ? "the primary is draining" : "some members cannot reach the primary");
+  }
+}
+
+// After an outage of the store the records of running servers take a moment to come back.
+void PrimaryAuthority::WatchMissing(const std::string& name, Database& database) {
+  const TimePoint now = this->clock.Now();
+  if (!database.missing_since) {
+    database.missing_since = now;
+  }
+  if (now - *database.missing_since >= kMissingLimit && this->MayRevoke()) {
+    this->Replace(name, database, false, "the primary has left");
+  }
+}
+
+// Returns why the primary must be replaced, or an empty text if it seems to work.
+std::string PrimaryAuthority::ReasonOfDeath(const std::string& name, Database& database) {
+  const TimePoint now = this->clock.Now();
+  const Duration silence = now - database.last_answer;
+  if (silence <= kProbeAfterSilence && !database.suspected) {
+    return "";
+  }
+  // A member that cannot reach the primary keeps suspecting it; one answer settles that for a
+  // while.
+  const bool urgent = silence > kProbeAfterSilence || database.refusals > 0;
+  const Duration pause = urgent ? kProbeInterval : kSuspicionPause;
+  if (now - database.last_probe >= pause) {
+    this->ProbePrimary(name, database);
+  }
+  const auto unanswered =
+      std::count_if(database.unanswered_probes.begin(), database.unanswered_probes.end(),
+                    [now](TimePoint sent) { return now - sent >= kProbeAnswerLimit; });
+  if (silence > kDeadAfterSilence && unanswered >= kProbesUntilDead) {
+    return absl::StrCat("no answer for ", LogMilliseconds(silence), " ms");
+  }
+  return database.refusals >= kRefusalsUntilDead ? "no server listens at the primary's address"
+                                                 : "";
+}
+
+// While a member that cannot be asked may still use the primary, nothing else can lead. The others
+// go on using it until then, as far as they reach it.
+bool PrimaryAuthority::MayRevoke() const {
+  const TimePoint now = this->clock.Now();
+  return std::all_of(this->members.begin(), this->members.end(), [&](const auto& entry) {
+    const Member& member = entry.second;
+    const bool in_contact = member.heard && now - member.heard_at < kMemberSilence;
+    return in_contact || now + kRevocationLead >= this->GrantsEnd(member);
+  });
+}
+
+// A planned change stops all writes until it is done, so it starts only if a successor has the log.
+void PrimaryAuthority::ConsiderHandOver(const std::string& name, Database& database,
+                                        const std::string& reason) {
+  const TimePoint now = this->clock.Now();
+  if (now < database.hand_over_not_before || !this->MayRevoke()) {
+    return;
+  }
+  if (!database.check_started) {
+    database.check_started = now;
+    database.check_position = database.newest ? database.newest->position : LogPosition{};
+    database.candidates.clear();
+    database.old_server = database.record.server;
+    ++database.replacement;
+    this->ProbeCandidates(name, database);
+    return;
+  }
+  const auto candidates = this->ServersOf(name);
+  const bool ready = std::any_of(
+      candidates.begin(), candidates.end(), [&database](const BackendServerRecord* server) {
+        const auto probe = database.candidates.find(server->id);
+        return server->state == BackendServerState::kReady && probe != database.candidates.end() &&
+               probe->second.outcome == ProbeOutcome::kAnswered &&
+               probe->second.received >= database.check_position;
+      });
+  if (ready) {
+    this->Replace(name, database, true, reason);
+  } else if (now - *database.check_started > kSelectionLimit) {
+    this->logger.Info(
+        "hand_over_postponed",
+        {{"database", name}, {"reason", reason}, {"position", database.check_position.ToString()}});
+    database.check_started.reset();
+    database.hand_over_not_before = now + kCheckPause;
+  }
+}
+
+void PrimaryAuthority::ProbePrimary(const std::string& name, Database& database) {
+  const BackendServerRecord* primary = this->Find(database.record.server);
+  const TimePoint sent = this->clock.Now();
+  database.last_probe = sent;
+  database.unanswered_probes.push_back(sent);
+  this->hooks.probe(*primary, [this, name, step = database.step, sent,
+                               weak = std::weak_ptr<bool>(this->alive)](const BackendProbe& probe) {
+    Database* current = weak.expired() ? nullptr : this->AtStep(name, step);
+    if (current == nullptr) {
+      return;
+    }
+    if (probe.outcome != ProbeOutcome::kNoAnswer) {
+      current->unanswered_probes.clear();
+    }
+    switch (probe.outcome) {
+      case ProbeOutcome::kAnswered:
+        if (probe.role != Role::kPrimary) {
+          this->Replace(name, *current, false, "the primary no longer leads");
+          return;
+        }
+        current->refusals = 0;
+        current->suspected = false;
+        current->last_answer = std::max(current->last_answer, sent);
+        return;
+      case ProbeOutcome::kBusy:
+        current->refusals = 0;
+        current->suspected = false;
+        current->last_answer = std::max(current->last_answer, sent);
+        return;
+      case ProbeOutcome::kNotListening:
+        ++current->refusals;
+        return;
+      case ProbeOutcome::kNoAnswer:
+        return;
+    }
+  });
+}
+
+std::size_t PrimaryAuthority::MembersMissing(const std::string& server) const {
+  const TimePoint now = this->clock.Now();
+  return static_cast<std::size_t>(
+      std::count_if(this->members.begin(), this->members.end(), [&](const auto& entry) {
+        const Member& member = entry.second;
+        return member.heard && now - member.heard_at < kMemberSilence &&
+               member.report.unreachable.count(server) != 0;
+      }));
+}
+
+bool PrimaryAuthority::ShouldHandOver(const Database& database) const {
+  const std::size_t missing = this->MembersMissing(database.record.server);
+  if (missing == 0 || missing * 100 < this->members.size() * kHandOverPercent) {
+    return false;
+  }
+  const auto candidates = this->ServersOf(this->Find(database.record.server)->database);
+  return std::any_of(candidates.begin(), candidates.end(), [&](const BackendServerRecord* server) {
+    return server->id != database.record.server && server->state == BackendServerState::kReady &&
+           this->MembersMissing(server->id) < missing;
+  });
+}
+
+}  // namespace sycamoredrum
--- a/src/proxy/settings.cc
+++ b/src/proxy/settings.cc
@@ -45,23 +45,13 @@
 }
 
 void CheckConsistency(const ProxySettings& settings, SettingReader& reader) {
-  if (!settings.fleet_key.empty() && settings.fleet_key.size() < ProxySettings::kMinFleetKeyBytes) {
-    reader.Add("fleet-key",
-               fmt::format("must have at least {} bytes", ProxySettings::kMinFleetKeyBytes));
-  }
+  reader.RequireBytes("fleet-key", settings.fleet_key, ProxySettings::kMinFleetKeyBytes);
   if (settings.default_deadline > settings.max_deadline) {
     reader.Add("default-deadline", "is longer than --max-deadline");
   }
-  const std::pair<const char*, Endpoint> listeners[] = {{"caller-address", settings.caller_address},
-                                                        {"peer-address", settings.peer_address},
-                                                        {"admin-address", settings.admin_address}};
-  std::map<Endpoint, std::string> used;
-  for (const auto& [flag, endpoint] : listeners) {
-    const auto [entry, inserted] = used.emplace(endpoint, flag);
-    if (!inserted && endpoint.port != 0) {
-      reader.Add(flag, "is the same address as --" + entry->second);
-    }
-  }
+  reader.RequireDistinct({{"caller-address", settings.caller_address},
+                          {"peer-address", settings.peer_address},
+                          {"admin-address", settings.admin_address}});
 }
 
 }  // namespace
--- a/src/relay/caller_session.h
+++ b/src/relay/caller_session.h
@@ -33,6 +33,14 @@
   bool Busy() const { return this->attempt.has_value(); }
 
  private:
+  /// Pauses before a statement is tried again at a server that could not take it: one that is not
+  /// the primary yet, one that is busy, and one that cannot be reached or is at its cap.
+  static constexpr Duration kPrimaryRetryDelay = std::chrono::milliseconds(50);
+  static constexpr Duration kBusyRetryDelay = std::chrono::milliseconds(30);
+  static constexpr Duration kCapRetryDelay = std::chrono::milliseconds(100);
+  /// Callers are never told to come back sooner.
+  static constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(1);
+
   /// The statement that is in progress.
   struct Attempt {
     Statement statement;
--- /dev/null
+++ b/src/relay/caller_session_result.cc
@@ -0,0 +1,193 @@
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "caller_session.h"
+
+namespace sycamoredrum {
+
+void RelayCallerSession::OnResult(const std::optional<StatementResult>& result) {
+  if (!result) {
+    this->OnConnectionLost();
+  } else if (result->error && GuaranteesNotRun(result->error->code)) {
+    this->OnRefusedByServer(*result->error);
+  } else {
+    this->OnAnswer(*result);
+  }
+}
+
+void RelayCallerSession::OnConnectionLost() {
+  const bool sent = this->attempt->sent;
+  const bool began = this->held && this->held->began;
+  if (this->held && this->held->grant) {
+    this->relay.hooks.primary_suspected(this->route.database);
+  }
+  this->attempt->tried.insert(this->held->server);
+  this->Release(ConnectionState::kBroken);
+  if (this->attempt->statement.kind == StatementKind::kCommit && sent) {
+    this->transaction = TransactionState::kNone;
+    // A transaction without a write leaves nothing, whether it was committed or not.
+    this->Fail(this->wrote ? StatementErrorCode::kUnknownOutcome : StatementErrorCode::kAborted,
+               "the server's answer to the commit was lost");
+    return;
+  }
+  if (began) {
+    this->FailTransaction();
+    this->Fail(StatementErrorCode::kAborted, "the connection to the server was lost");
+    return;
+  }
+  if (sent && this->Writes(this->attempt->statement)) {
+    this->Fail(StatementErrorCode::kUnknownOutcome, "the server's answer to the write was lost");
+    return;
+  }
+  this->attempt->sent = false;
+  this->RetryLater(Duration::zero(), "the connection was lost");
+}
+
+// The server guarantees that the statement, or the start of its transaction, did not run.
+void RelayCallerSession::OnRefusedByServer(const StatementError& error) {
+  RelayServer* server = this->relay.FindServer(this->held->server);
+  const bool as_primary = this->held->grant.has_value();
+  const bool began = this->held->began;
+  this->attempt->sent = false;
+  Duration delay = Duration::zero();
+  switch (error.code) {
+    case StatementErrorCode::kBehind:
+      if (server != nullptr) {
+        server->behind_until = this->Now() + SessionRelay::kBehindPause;
+      }
+      delay = as_primary ? kPrimaryRetryDelay : Duration::zero();
+      break;
+    case StatementErrorCode::kReadOnly:
+      this->relay.hooks.primary_suspected(this->route.database);
+      delay = kPrimaryRetryDelay;
+      break;
+    case StatementErrorCode::kUnknownStatement:
+      if (BackendSession* connection = this->Connection()) {
+        connection->ForgetPrepared(this->profile, this->attempt->statement);
+      }
+      break;
+    default:
+      delay = as_primary ? kBusyRetryDelay : Duration::zero();
+      break;
+  }
+  const bool retry_inside = began && (error.code == StatementErrorCode::kBusy ||
+                                      error.code == StatementErrorCode::kUnknownStatement);
+  if (began && !retry_inside) {
+    this->RollBackAndRelease();
+    const bool committing = this->attempt->statement.kind == StatementKind::kCommit;
+    this->transaction = committing ? TransactionState::kNone : TransactionState::kFailed;
+    this->abort_reason = error.message;
+    this->Fail(StatementErrorCode::kAborted,
+               absl::StrCat("the server refused: ", std::string(ToString(error.code))));
+    return;
+  }
+  if (!began) {
+    this->attempt->tried.insert(this->held->server);
+    this->Release(ConnectionState::kClean);
+  } else if (++this->attempt->tries > SessionRelay::kMaxAttempts) {
+    this->RollBackAndRelease();
+    this->FailTransaction();
+    this->Fail(StatementErrorCode::kAborted, "the server stays busy");
+    return;
+  } else {
+    delay = kBusyRetryDelay;
+  }
+  this->RetryLater(delay, std::string(ToString(error.code)));
+}
+
+void RelayCallerSession::OnAnswer(const StatementResult& answer) {
+  StatementResult result = answer;
+  const bool committing = this->attempt->statement.kind == StatementKind::kCommit;
+  const bool in_transaction = this->transaction == TransactionState::kOpen;
+  const bool durable =
+      committing ? this->wrote : !in_transaction && this->Writes(this->attempt->statement);
+  const std::optional<PrimaryGrant>& grant = this->attempt->grant;
+  if (!result.error && durable &&
+      !(grant && this->relay.grants.StillValid(this->route.database, grant->generation))) {
+    // Another primary may lead by now, and its log may lack this commit.
+    result.error = StatementError{StatementErrorCode::kUnknownOutcome,
+                                  "the permission for the primary ended before its answer"};
+    result.rows.clear();
+  }
+  if (!result.error && grant && result.position) {
+    this->relay.Observe(this->route.database, grant->generation,
+                        PositionObservation{*result.position, this->attempt->sent_at});
+    if (durable) {
+      this->own_generation = grant->generation;
+      this->own_position = result.position;
+    }
+  }
+  if (!in_transaction) {
+    this->Release(answer.state == TransactionState::kNone ? ConnectionState::kClean
+                                                          : ConnectionState::kBroken);
+  } else if (committing) {
+    this->transaction = TransactionState::kNone;
+    this->Release(answer.state == TransactionState::kNone ? ConnectionState::kClean
+                                                          : ConnectionState::kBroken);
+  } else if (result.error || answer.state != TransactionState::kOpen) {
+    this->RollBackAndRelease();
+    this->FailTransaction();
+    this->abort_reason = result.error ? result.error->message : "the server ended it";
+  }
+  this->Reply(std::move(result));
+}
+
+void RelayCallerSession::OnDeadline() {
+  const bool sent = this->attempt->sent;
+  const bool committing = this->attempt->statement.kind == StatementKind::kCommit;
+  const bool durable = committing ? this->wrote : this->Writes(this->attempt->statement);
+  const bool in_transaction = this->transaction == TransactionState::kOpen;
+  if (this->held) {
+    RelayServer* server = this->relay.FindServer(this->held->server);
+    if (sent && server != nullptr && this->relay.Silent(*server, SessionRelay::kSilenceToAvoid)) {
+      this->relay.MarkFailing(*server);
+    }
+    // What the connection still does is not known.
+    this->Release(ConnectionState::kBroken);
+  }
+  if (in_transaction) {
+    this->transaction = committing && sent ? TransactionState::kNone : TransactionState::kFailed;
+    this->abort_reason = "the statement's time limit passed";
+  }
+  if (sent && durable && (committing || !in_transaction)) {
+    this->Fail(StatementErrorCode::kUnknownOutcome, "no answer within the statement's time limit");
+  } else if (in_transaction) {
+    this->Fail(StatementErrorCode::kAborted, "no answer within the statement's time limit");
+  } else if (sent) {
+    this->Fail(StatementErrorCode::kTimeout, "no answer within the statement's time limit");
+  } else {
+    this->Refuse("no server could take the statement in time", kPrimaryRetryDelay);
+  }
+}
+
+void RelayCallerSession::RetryLater(Duration delay, const std::string& reason) {
+  const TimePoint now = this->Now();
+  if (now + delay >= this->attempt->deadline) {
+    this->Refuse(reason, kPrimaryRetryDelay);
+    return;
+  }
+  this->attempt->waiting = false;
+  if (delay <= Duration::zero() && !this->held) {
+    this->Dispatch();
+    return;
+  }
+  this->Later(delay, [this] { this->Dispatch(); });
+}
+
+// The statement did not run and will not.
+void RelayCallerSession::Refuse(const std::string& reason, Duration retry_after) {
+  if (this->held) {
+    this->RollBackAndRelease();
+  }
+  if (this->transaction == TransactionState::kOpen) {
+    this->FailTransaction();
+    this->abort_reason = reason;
+  }
+  this->Fail(StatementErrorCode::kBusy,
+             absl::StrCat("retry after ", LogMilliseconds(std::max(retry_after, kLeastRetryAfter)),
+                          " ms: ", reason));
+}
+
+}  // namespace sycamoredrum
--- a/src/relay/session_relay.cc
+++ b/src/relay/session_relay.cc
@@ -180,13 +180,10 @@
   server.unreachable_until = now + kUnreachablePause;
   if (!server.failing_since) {
     server.failing_since = now;
-    this->logger.Warning(
-        "server_failing",
-        {{"server", server.record.id},
-         {"database", server.record.database},
-         {"silent_ms", absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(
-                                        now - server.answered_at)
-                                        .count())}});
+    this->logger.Warning("server_failing",
+                         {{"server", server.record.id},
+                          {"database", server.record.database},
+                          {"silent_ms", LogMilliseconds(now - server.answered_at)}});
   }
 }
 
--- /dev/null
+++ b/src/relay/session_relay_fixture_test.h
@@ -0,0 +1,139 @@
+#pragma once
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "simulated_database_test.h"
+#include "sycamoredrum/manual_clock.h"
+#include "sycamoredrum/session_relay.h"
+
+namespace sycamoredrum {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+inline constexpr std::uint64_t kSeed = 20261204;
+
+inline Statement Make(StatementKind kind, const std::string& id, const std::string& item = "a") {
+  Statement statement;
+  statement.kind = kind;
+  statement.id = id;
+  statement.item = item;
+  return statement;
+}
+
+/// A caller that keeps the answers to its statements.
+struct TestCaller {
+  std::shared_ptr<CallerSession> session;
+  std::vector<StatementResult> results;
+
+  StatementErrorCode LastError() const {
+    return this->results.empty() || !this->results.back().error ? StatementErrorCode::kOther
+                                                                : this->results.back().error->code;
+  }
+  bool LastSucceeded() const { return !this->results.empty() && !this->results.back().error; }
+};
+
+class SessionRelayTest : public testing::Test {
+ protected:
+  SessionRelayTest()
+      : database(this->clock, "orders", 3),
+        grants(this->clock),
+        logger(LogLevel::kError, LogFormat::kText, this->clock, [](const std::string&) {}) {
+    SessionRelayHooks hooks;
+    hooks.open_channel = [this](const BackendServerRecord& record, BackendChannelEvents events) {
+      return this->database.Open(record, std::move(events));
+    };
+    hooks.primary_suspected = [this](const std::string&) { ++this->suspicions; };
+    this->relay = std::make_unique<SessionRelay>(
+        SessionRelayOptions{"dc0"}, hooks, this->grants, this->clock, this->clock,
+        [this] { return this->random(); }, this->logger, this->metrics);
+    auto configuration = std::make_shared<RelayConfiguration>();
+    configuration->version = 1;
+    configuration->connection_caps["orders"] = 21;
+    configuration->transaction_idle_timeout = seconds(3);
+    configuration->routes["place"] = Route("place", ReadConsistency::kPrimary, {});
+    configuration->routes["stock"] = Route("stock", ReadConsistency::kBounded, milliseconds(1500));
+    configuration->routes["quotes"] =
+        Route("quotes", ReadConsistency::kReadYourWrites, milliseconds(2500));
+    this->relay->SetConfiguration(configuration);
+    this->relay->SetServers(this->database.Records());
+    this->relay->SetShares({{"orders-0", 10}, {"orders-1", 10}, {"orders-2", 10}});
+    this->Grant(0, 1);
+  }
+
+  static RelayRoute Route(const std::string& name, ReadConsistency consistency, Duration max_age) {
+    RelayRoute route;
+    route.name = name;
+    route.database = "orders";
+    route.consistency = consistency;
+    route.max_age = max_age;
+    route.statement_timeout = seconds(1);
+    route.latency_objective = seconds(1);
+    return route;
+  }
+
+  void Grant(int server, std::uint64_t generation, Duration validity = seconds(60)) {
+    this->grants.Renew("orders", PrimaryGrant{this->database.Id(server), generation, 1,
+                                              this->clock.Now() + validity});
+    this->relay->GrantsChanged();
+  }
+
+  TestCaller& Open(const std::string& route) {
+    this->callers.push_back(std::make_unique<TestCaller>());
+    TestCaller* caller = this->callers.back().get();
+    caller->session = this->relay->Open(
+        route,
+        CallerSessionHooks{
+            [caller](const StatementResult& result) { caller->results.push_back(result); }, [] {}});
+    return *caller;
+  }
+
+  void Advance(Duration time) {
+    for (Duration passed{}; passed < time; passed += milliseconds(10)) {
+      this->clock.Advance(milliseconds(10));
+      this->relay->Tick();
+    }
+  }
+
+  /// Runs one statement to its end.
+  const StatementResult& Do(TestCaller& caller, const Statement& statement,
+                            Duration limit = seconds(2)) {
+    const std::size_t before = caller.results.size();
+    caller.session->Handle(statement);
+    for (Duration passed{}; passed < limit && caller.results.size() == before;
+         passed += milliseconds(5)) {
+      this->clock.Advance(milliseconds(5));
+      this->relay->Tick();
+    }
+    EXPECT_EQ(caller.results.size(), before + 1) << statement.id;
+    return caller.results.back();
+  }
+
+  std::vector<SimulatedDatabase::Run> RunsOf(const std::string& id) const {
+    std::vector<SimulatedDatabase::Run> found;
+    for (const SimulatedDatabase::Run& run : this->database.runs) {
+      if (run.id == id) {
+        found.push_back(run);
+      }
+    }
+    return found;
+  }
+
+  ManualClock clock;
+  SimulatedDatabase database;
+  PrimaryGrants grants;
+  Logger logger;
+  Metrics metrics;
+  std::mt19937_64 random{kSeed};
+  std::unique_ptr<SessionRelay> relay;
+  std::vector<std::unique_ptr<TestCaller>> callers;
+  int suspicions = 0;
+};
+
+}  // namespace sycamoredrum
--- /dev/null
+++ b/src/relay/session_relay_load_test.cc
@@ -0,0 +1,101 @@
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "session_relay_fixture_test.h"
+
+namespace sycamoredrum {
+namespace {
+
+// Load pattern: one replica stops answering under a steady read load. Reads move away from it in
+// well under a statement's time limit.
+TEST_F(SessionRelayTest, ReadsLeaveASilentReplica) {
+  TestCaller& warm = this->Open("place");
+  this->Do(warm, Make(StatementKind::kRead, "warm"));
+  this->database.At(1).silent = true;
+  std::vector<TestCaller*> readers;
+  for (int i = 0; i < 6; ++i) {
+    readers.push_back(&this->Open("stock"));
+  }
+  int sent = 0;
+  for (int round = 0; round < 100; ++round) {
+    for (TestCaller* reader : readers) {
+      if (reader->session->Idle()) {
+        reader->session->Handle(Make(StatementKind::kRead, "r" + std::to_string(++sent)));
+      }
+    }
+    this->Advance(milliseconds(20));
+    if (round % 20 == 0) {
+      this->Do(warm, Make(StatementKind::kRead, "warm"));
+    }
+  }
+  int failed = 0;
+  for (TestCaller* reader : readers) {
+    failed += static_cast<int>(
+        std::count_if(reader->results.begin(), reader->results.end(),
+                      [](const StatementResult& result) { return result.error.has_value(); }));
+  }
+  EXPECT_EQ(failed, 0);
+  EXPECT_GT(sent, 400);
+}
+
+// Load pattern: a server's queue is full for a moment. Reads go to another one at once.
+TEST_F(SessionRelayTest, ABusyServerIsNotAskedTwiceForOneRead) {
+  TestCaller& caller = this->Open("stock");
+  this->Do(caller, Make(StatementKind::kRead, "warm"));
+  for (int i = 0; i < 3; ++i) {
+    this->database.At(i).busy_answers = i == 0 ? 0 : 1;
+  }
+  const TimePoint start = this->clock.Now();
+  EXPECT_FALSE(this->Do(caller, Make(StatementKind::kRead, "r")).error);
+  EXPECT_LT(this->clock.Now() - start, milliseconds(120));
+}
+
+// Load pattern: more work than connections. What cannot be served in time is refused at once, with
+// a time to come back, and did not run.
+TEST_F(SessionRelayTest, OverloadIsRefusedEarlyAndTruly) {
+  this->database.At(0).work = milliseconds(400);
+  this->relay->SetShares({{"orders-0", 7}});
+  std::vector<TestCaller*> callers_here;
+  for (int i = 0; i < 60; ++i) {
+    callers_here.push_back(&this->Open("place"));
+    callers_here.back()->session->Handle(Make(StatementKind::kWrite, "w" + std::to_string(i)));
+  }
+  this->Advance(milliseconds(700));
+  int refused = 0;
+  for (std::size_t i = 0; i < callers_here.size(); ++i) {
+    if (callers_here[i]->LastError() == StatementErrorCode::kBusy) {
+      ++refused;
+      EXPECT_TRUE(this->RunsOf("w" + std::to_string(i)).empty());
+      EXPECT_THAT(callers_here[i]->results.back().error->message,
+                  testing::HasSubstr("retry after"));
+    }
+  }
+  EXPECT_EQ(refused, 60 - 2 * 7) << "two rounds of 7 fit into half of the objective";
+  // The work is known to take 400 ms by now: whoever would start after half of the objective is
+  // refused without a wait.
+  this->Advance(milliseconds(500));
+  int refused_at_once = 0;
+  for (TestCaller* caller : callers_here) {
+    const std::size_t before = caller->results.size();
+    caller->session->Handle(Make(StatementKind::kWrite, "again"));
+    refused_at_once += caller->results.size() > before ? 1 : 0;
+  }
+  EXPECT_GE(refused_at_once, 60 - 3 * 7);
+}
+
+// Guards against a relay that keeps every connection to itself: the servers' cap is shared.
+TEST_F(SessionRelayTest, NoMoreConnectionsAreOpenedThanTheShare) {
+  this->relay->SetShares({{"orders-0", 3}});
+  this->database.At(0).work = milliseconds(100);
+  for (int i = 0; i < 20; ++i) {
+    this->Open("place").session->Handle(Make(StatementKind::kRead, "r" + std::to_string(i)));
+  }
+  this->Advance(milliseconds(300));
+  EXPECT_LE(this->database.At(0).connections, 3U);
+}
+
+}  // namespace
+}  // namespace sycamoredrum
--- a/src/relay_daemon/fleet_leader.cc
+++ b/src/relay_daemon/fleet_leader.cc
@@ -1,5 +1,6 @@
 #include "fleet_leader.h"
 
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -24,10 +25,6 @@
 
 std::int64_t Stamp(TimePoint time) { return time.time_since_epoch().count(); }
 
-bool HasPrefix(const std::string& text, std::string_view prefix) {
-  return text.compare(0, prefix.size(), prefix) == 0;
-}
-
 }  // namespace
 
 FleetLeader::FleetLeader(const RelayPlatform& platform, MemberRecord self, FleetLeaderHooks hooks,
@@ -161,10 +158,10 @@
   std::map<std::string, PrimaryRecord> records;
   std::map<std::string, std::uint64_t> revisions;
   for (const KeyValue& item : page.items) {
-    if (HasPrefix(item.key, kMembersPrefix)) {
+    if (absl::StartsWith(item.key, kMembersPrefix)) {
       const std::string member = item.key.substr(std::string_view(kMembersPrefix).size());
       this->member_revisions[member] = item.revision;
-    } else if (HasPrefix(item.key, kPrimariesPrefix)) {
+    } else if (absl::StartsWith(item.key, kPrimariesPrefix)) {
       const std::string name = item.key.substr(std::string_view(kPrimariesPrefix).size());
       if (const std::optional<PrimaryRecord> record = ParsePrimaryRecord(item.value)) {
         records[name] = *record;
--- a/src/relay_daemon/fleet_member.cc
+++ b/src/relay_daemon/fleet_member.cc
@@ -9,15 +9,10 @@
 namespace sycamoredrum {
 namespace {
 
-constexpr Duration kRegistrationRetryDelay = std::chrono::milliseconds(300);
 constexpr Duration kStateInterval = std::chrono::seconds(1);
 constexpr Duration kRevocationPoll = std::chrono::milliseconds(10);
 constexpr Duration kLeaveTimeout = std::chrono::milliseconds(600);
 
-bool HasPrefix(const std::string& text, std::string_view prefix) {
-  return text.compare(0, prefix.size(), prefix) == 0;
-}
-
 }  // namespace
 
 FleetMember::FleetMember(const RelayPlatform& platform, MemberRecord self,
@@ -126,99 +121,6 @@
   return true;
 }
 
-// A member is registered before it reads the leader's key: a leader that takes over later finds the
-// registration, and an earlier one is known by the key.
-void FleetMember::Register() {
-  const std::string key = absl::StrCat(kMembersPrefix, this->self.member);
-  this->platform.store.list(key, [this, key](PlatformStatus status, const StorePage& page) {
-    if (status != PlatformStatus::kOk) {
-      this->RetryRegistration();
-      return;
-    }
-    const auto found = std::find_if(page.items.begin(), page.items.end(),
-                                    [&key](const KeyValue& item) { return item.key == key; });
-    if (found != page.items.end() && found->value == ToJson(this->self)) {
-      this->Registered();
-      return;
-    }
-    this->WriteRegistration(found == page.items.end() ? 0 : found->revision);
-  });
-}
-
-void FleetMember::WriteRegistration(std::uint64_t revision) {
-  const std::string key = absl::StrCat(kMembersPrefix, this->self.member);
-  this->platform.store.write(ConditionalWrite{key, revision, ToJson(this->self), 0}, {},
-                             [this](PlatformStatus status, std::uint64_t) {
-                               if (status == PlatformStatus::kOk) {
-                                 this->Registered();
-                               } else {
-                                 this->RetryRegistration();
-                               }
-                             });
-}
-
-void FleetMember::RetryRegistration() {
-  this->loop.RunAfter(kRegistrationRetryDelay, [this] {
-    if (!this->leaving) {
-      this->Register();
-    }
-  });
-}
-
-void FleetMember::Registered() {
-  if (std::exchange(this->registered, true)) {
-    return;
-  }
-  this->logger.Info("member_registered", {{"incarnation", this->self.incarnation}});
-  if (!std::exchange(this->mirror_started, true)) {
-    this->mirror.Start();
-  }
-}
-
-void FleetMember::OnFleetKey(const StoreEvent& event) {
-  const std::string& key = event.item.key;
-  if (key == kLeaderKey) {
-    const std::optional<KeyValue> item =
-        event.removed ? std::nullopt : std::optional<KeyValue>(event.item);
-    if (item) {
-      // Grants of earlier leaders are refused from now on.
-      this->grants.Adopt(item->revision);
-      if (const std::optional<MemberRecord> record = ParseMemberRecord(item->value)) {
-        this->SetLeader(*record, item->revision);
-      }
-    }
-    this->leader_part.LeaderKeyChanged(item);
-    return;
-  }
-  if (!HasPrefix(key, kMembersPrefix)) {
-    return;
-  }
-  const std::string member = key.substr(std::string_view(kMembersPrefix).size());
-  if (event.removed) {
-    this->members.erase(member);
-    this->member_revisions.erase(member);
-    if (member == this->self.member && !this->leaving) {
-      this->registered = false;
-      this->Register();
-    }
-  } else if (const std::optional<MemberRecord> record = ParseMemberRecord(event.item.value)) {
-    this->members[member] = *record;
-    this->member_revisions[member] = event.item.revision;
-  }
-  this->leader_part.SetMembers(this->member_revisions);
-}
-
-void FleetMember::SetLeader(const MemberRecord& record, std::uint64_t epoch) {
-  if (epoch <= this->leader_epoch) {
-    return;
-  }
-  this->leader = record;
-  this->leader_epoch = epoch;
-  this->answer_stamp = 0;
-  this->heartbeat_wanted = true;
-  this->logger.Info("leader_changed", {{"leader", record.member}, {"epoch", absl::StrCat(epoch)}});
-}
-
 // A process that has just started may have acknowledged a revocation in its earlier life. A leader
 // that was replaced before may still send grants until its own time is over, so it must be known
 // from the store which leader is the present one, or that time must have passed.
--- a/src/relay_daemon/relay_settings.cc
+++ b/src/relay_daemon/relay_settings.cc
@@ -9,22 +9,11 @@
 namespace {
 
 void CheckConsistency(const RelaySettings& settings, SettingReader& reader) {
-  if (!settings.fleet_key.empty() && settings.fleet_key.size() < RelaySettings::kMinFleetKeyBytes) {
-    reader.Add("fleet-key",
-               fmt::format("must have at least {} bytes", RelaySettings::kMinFleetKeyBytes));
-  }
-  const std::pair<const char*, Endpoint> listeners[] = {
-      {"caller-address", settings.caller_address},
-      {"ready-address", settings.ready_address},
-      {"peer-address", settings.peer_address},
-      {"metrics-address", settings.metrics_address}};
-  std::map<Endpoint, std::string> used;
-  for (const auto& [flag, endpoint] : listeners) {
-    const auto [entry, inserted] = used.emplace(endpoint, flag);
-    if (!inserted && endpoint.port != 0) {
-      reader.Add(flag, "is the same address as --" + entry->second);
-    }
-  }
+  reader.RequireBytes("fleet-key", settings.fleet_key, RelaySettings::kMinFleetKeyBytes);
+  reader.RequireDistinct({{"caller-address", settings.caller_address},
+                          {"ready-address", settings.ready_address},
+                          {"peer-address", settings.peer_address},
+                          {"metrics-address", settings.metrics_address}});
 }
 
 }  // namespace
--- a/src/settings/setting_reader.cc
+++ b/src/settings/setting_reader.cc
@@ -193,6 +193,24 @@
   return bytes;
 }
 
+void SettingReader::RequireDistinct(
+    const std::vector<std::pair<std::string, Endpoint>>& listeners) {
+  std::map<Endpoint, std::string> used;
+  for (const auto& [flag, endpoint] : listeners) {
+    const auto [entry, inserted] = used.emplace(endpoint, flag);
+    if (!inserted && endpoint.port != 0) {
+      this->Add(flag, "is the same address as --" + entry->second);
+    }
+  }
+}
+
+void SettingReader::RequireBytes(const std::string& flag, const std::string& text,
+                                 std::size_t least) {
+  if (!text.empty() && text.size() < least) {
+    this->Add(flag, fmt::format("must have at least {} bytes", least));
+  }
+}
+
 void SettingReader::Add(const std::string& flag, const std::string& reason) {
   const auto found = this->values.find(flag);
   const bool known = found != this->values.end() && !found->second.place.empty();
--- a/src/telemetry/log.cc
+++ b/src/telemetry/log.cc
@@ -79,6 +79,10 @@
   return std::nullopt;
 }
 
+std::string LogMilliseconds(Duration duration) {
+  return absl::StrCat(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 Logger::Logger(LogLevel minimum, LogFormat format, const Clock& clock, Sink sink)
     : minimum(minimum), format(format), clock(clock), sink(std::move(sink)) {}
 
