--- /dev/null
+++ b/testsuite/relay/standin_users_platform.cc
@@ -0,0 +1,495 @@
+#include "standin_users_platform.h"
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
+#include <algorithm>
+#include <future>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace sycamoredrum {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr const char* kService = "orders";
+constexpr Duration kWatchPoll = std::chrono::milliseconds(20);
+constexpr Duration kPromotion = std::chrono::milliseconds(100);
+
+struct Connection {
+  std::shared_ptr<ByteStream> stream;
+  std::string partial;
+  bool open = false;
+  bool transaction = false;
+  std::map<std::string, std::string> writes;  ///< Of the open transaction.
+  std::map<std::string, bool> prepared;       ///< By name; true if it writes.
+};
+
+}  // namespace
+
+struct StandinUsersPlatform::State {
+  struct Item {
+    std::string value;  ///< As base64 text.
+    std::uint64_t revision = 0;
+    std::uint64_t lease = 0;
+  };
+  struct Lease {
+    Duration time_to_live{};
+    TimePoint ends;
+  };
+  struct Instance {
+    std::string id;
+    Endpoint endpoint;
+    std::unique_ptr<ByteStreamServer> server;
+    std::vector<std::shared_ptr<Connection>> connections;
+    std::map<std::string, std::string> values;
+    bool running = true;
+    bool draining = false;
+  };
+
+  State()
+      : loop(1),
+        http(this->loop, HttpServerLimits{},
+             HttpServerHooks{[this](const HttpRequest& request, HttpRespond respond) {
+                               this->Handle(request, std::move(respond));
+                             },
+                             nullptr, nullptr}) {}
+
+  // Store ------------------------------------------------------------------------------------
+  void Handle(const HttpRequest& request, HttpRespond respond);
+  void Range(const HttpRequest& request, const HttpRespond& respond);
+  void Watch(const HttpRequest& request, const HttpRespond& respond, TimePoint until);
+  void Write(const HttpRequest& request, const HttpRespond& respond);
+  void Failover(const HttpRequest& request, const HttpRespond& respond);
+  void Put(const std::string& key, const std::string& value, std::uint64_t lease);
+  void Remove(const std::string& key);
+  void EndLeases();
+  Json ItemJson(const std::string& key, const Item& item) const;
+
+  // Instances --------------------------------------------------------------------------------
+  void AddInstance(int number);
+  void Register(const Instance& instance);
+  void Receive(int number, const std::shared_ptr<Connection>& connection, std::string_view bytes);
+  void HandleLine(int number, const std::shared_ptr<Connection>& connection, std::string line);
+  void Query(int number, const std::shared_ptr<Connection>& connection, std::string line);
+  void Commit(const std::map<std::string, std::string>& writes);
+  std::string Ready(const Connection& connection) const;
+
+  template <typename Result>
+  Result Run(std::function<Result()> action) {
+    std::promise<Result> done;
+    this->loop.Post([&] { done.set_value(action()); });
+    return done.get_future().get();
+  }
+
+  EventLoop loop;
+  HttpServer http;
+  std::map<std::string, Item> items;
+  std::map<std::uint64_t, Lease> leases;
+  std::vector<std::pair<std::uint64_t, std::string>> changes;  ///< Revision and key.
+  std::uint64_t revision = 10;
+  std::uint64_t next_lease = 1;
+  bool down = false;
+  std::vector<Instance> instances;
+  int primary = 0;
+  std::uint64_t term = 1;
+  std::uint64_t log_end = 1;
+  int promotions = 0;
+  std::map<std::string, int> commits;  ///< By the data that was written.
+};
+
+namespace {
+
+void Respond(const HttpRespond& respond, int status, const Json& body) {
+  HttpResponse response;
+  response.status = status;
+  response.body = body.dump();
+  respond(std::move(response));
+}
+
+}  // namespace
+
+void StandinUsersPlatform::State::Handle(const HttpRequest& request, HttpRespond respond) {
+  if (this->down) {
+    Respond(respond, 503, Json::object());
+    return;
+  }
+  this->EndLeases();
+  const std::string path(request.Path());
+  const std::string keep = "/sycamoredrum/kv-keep/";
+  const std::string end = "/sycamoredrum/kv-lease-end/";
+  if (path == "/sycamoredrum/kv-range") {
+    this->Range(request, respond);
+  } else if (path == "/sycamoredrum/kv-watch") {
+    const auto wait = std::stoll(request.QueryParameter("waitMs").value_or("0"));
+    this->Watch(request, respond, this->loop.Now() + std::chrono::milliseconds(wait));
+  } else if (path == "/sycamoredrum/kv-txn") {
+    this->Write(request, respond);
+  } else if (path == "/sycamoredrum/kv-lease") {
+    const Duration time = std::chrono::milliseconds(Json::parse(request.body).at("ttlMs"));
+    const std::uint64_t lease = this->next_lease++;
+    this->leases[lease] = Lease{time, this->loop.Now() + time};
+    Respond(respond, 200, {{"lease", lease}, {"ttlMs", 3000}});
+  } else if (path.compare(0, keep.size(), keep) == 0) {
+    const auto found = this->leases.find(std::stoull(path.substr(keep.size())));
+    if (found != this->leases.end()) {
+      found->second.ends = this->loop.Now() + found->second.time_to_live;
+    }
+    Respond(respond, found == this->leases.end() ? 404 : 200, Json::object());
+  } else if (path.compare(0, end.size(), end) == 0) {
+    const auto found = this->leases.find(std::stoull(path.substr(end.size())));
+    if (found != this->leases.end()) {
+      found->second.ends = this->loop.Now();
+      this->EndLeases();
+    }
+    Respond(respond, 200, Json::object());
+  } else if (path == "/failover") {
+    this->Failover(request, respond);
+  } else {
+    Respond(respond, 404, Json::object());
+  }
+}
+
+Json StandinUsersPlatform::State::ItemJson(const std::string& key, const Item& item) const {
+  return {{"key", key}, {"value", item.value}, {"rev", item.revision}, {"lease", item.lease}};
+}
+
+void StandinUsersPlatform::State::Range(const HttpRequest& request, const HttpRespond& respond) {
+  const std::string prefix = request.QueryParameter("prefix").value_or("");
+  Json body = {{"items", Json::array()}, {"hasMore", false}, {"currentRev", this->revision}};
+  for (const auto& [key, item] : this->items) {
+    if (key.compare(0, prefix.size(), prefix) == 0) {
+      body["items"].push_back(this->ItemJson(key, item));
+    }
+  }
+  Respond(respond, 200, body);
+}
+
+void StandinUsersPlatform::State::Watch(const HttpRequest& request, const HttpRespond& respond,
+                                        TimePoint until) {
+  if (this->down) {
+    Respond(respond, 503, Json::object());
+    return;
+  }
+  this->EndLeases();
+  const std::string prefix = request.QueryParameter("prefix").value_or("");
+  const std::uint64_t after = std::stoull(request.QueryParameter("after").value_or("0"));
+  Json events = Json::array();
+  for (const auto& [changed, key] : this->changes) {
+    if (changed <= after || key.compare(0, prefix.size(), prefix) != 0) {
+      continue;
+    }
+    const auto item = this->items.find(key);
+    if (item == this->items.end()) {
+      events.push_back({{"key", key}, {"rev", changed}, {"tombstone", true}});
+    } else if (item->second.revision == changed) {
+      events.push_back(this->ItemJson(key, item->second));
+    }
+  }
+  if (!events.empty() || this->loop.Now() >= until) {
+    Respond(respond, 200, {{"events", events}, {"currentRev", this->revision}});
+    return;
+  }
+  this->loop.RunAfter(kWatchPoll,
+                      [this, request, respond, until] { this->Watch(request, respond, until); });
+}
+
+void StandinUsersPlatform::State::Write(const HttpRequest& request, const HttpRespond& respond) {
+  const Json body = Json::parse(request.body);
+  Json present = Json::array();
+  bool conflict = false;
+  for (const Json& condition : body.at("expected")) {
+    const std::string key = condition.at("key");
+    const auto found = this->items.find(key);
+    const std::uint64_t actual = found == this->items.end() ? 0 : found->second.revision;
+    conflict = conflict || actual != condition.at("rev").get<std::uint64_t>();
+    if (found != this->items.end()) {
+      present.push_back(this->ItemJson(key, found->second));
+    }
+  }
+  if (conflict) {
+    Respond(respond, 412, {{"items", present}});
+    return;
+  }
+  for (const Json& put : body.at("puts")) {
+    const std::uint64_t lease = put.value("lease", std::uint64_t{0});
+    if (lease != 0 && this->leases.count(lease) == 0) {
+      Respond(respond, 404, Json::object());
+      return;
+    }
+    this->Put(put.at("key"), put.at("value"), lease);
+  }
+  for (const Json& key : body.at("deletes")) {
+    this->Remove(key);
+  }
+  Respond(respond, 200, {{"rev", this->revision}});
+}
+
+void StandinUsersPlatform::State::Put(const std::string& key, const std::string& value,
+                                      std::uint64_t lease) {
+  this->items[key] = Item{value, ++this->revision, lease};
+  this->changes.emplace_back(this->revision, key);
+}
+
+void StandinUsersPlatform::State::Remove(const std::string& key) {
+  if (this->items.erase(key) > 0) {
+    this->changes.emplace_back(++this->revision, key);
+  }
+}
+
+void StandinUsersPlatform::State::EndLeases() {
+  std::vector<std::string> ended;
+  for (const auto& [key, item] : this->items) {
+    const auto lease = this->leases.find(item.lease);
+    const bool over = lease == this->leases.end() || lease->second.ends <= this->loop.Now();
+    if (item.lease != 0 && over) {
+      ended.push_back(key);
+    }
+  }
+  for (const std::string& key : ended) {
+    this->Remove(key);
+  }
+}
+
+void StandinUsersPlatform::State::Failover(const HttpRequest& request, const HttpRespond& respond) {
+  const std::string id = Json::parse(request.body).at("id");
+  const auto target = std::find_if(
+      this->instances.begin(), this->instances.end(),
+      [&id](const Instance& instance) { return instance.id == id && instance.running; });
+  if (target == this->instances.end()) {
+    Respond(respond, 409, Json::object());
+    return;
+  }
+  const int number = static_cast<int>(target - this->instances.begin());
+  if (number != this->primary) {
+    this->loop.RunAfter(kPromotion, [this, number] {
+      this->primary = number;
+      ++this->term;
+      ++this->promotions;
+    });
+  }
+  Respond(respond, 200, Json::object());
+}
+
+void StandinUsersPlatform::State::AddInstance(int number) {
+  Instance instance;
+  instance.id = absl::StrCat("i-", number);
+  instance.server = std::make_unique<ByteStreamServer>(
+      this->loop, ByteStreamOptions{}, [this, number](std::shared_ptr<ByteStream> stream) {
+        auto connection = std::make_shared<Connection>();
+        connection->stream = stream;
+        ByteStreamHooks hooks;
+        hooks.received = [this, number,
+                          weak = std::weak_ptr<Connection>(connection)](std::string_view bytes) {
+          if (const auto open = weak.lock()) {
+            this->Receive(number, open, bytes);
+          }
+        };
+        hooks.closed = [](const std::string&) {};
+        stream->SetHooks(std::move(hooks));
+        this->instances[static_cast<std::size_t>(number)].connections.push_back(connection);
+      });
+  const auto port = instance.server->Listen(Endpoint{"127.0.0.1", 0});
+  instance.endpoint = Endpoint{"127.0.0.1", port.value_or(0)};
+  instance.server->Accept();
+  this->instances.push_back(std::move(instance));
+  this->Register(this->instances.back());
+}
+
+void StandinUsersPlatform::State::Register(const Instance& instance) {
+  const bool leads = &instance == &this->instances[static_cast<std::size_t>(this->primary)];
+  const Json record = {{"service", kService},
+                       {"addr", instance.endpoint.ToString()},
+                       {"zone", "dc1"},
+                       {"version", "v1"},
+                       {"slots", 3},
+                       {"state", instance.draining ? "draining" : "ready"},
+                       {"coldLeftMs", 0},
+                       {"dbRole", leads ? "primary" : "replica"},
+                       {"seq", 1},
+                       {"born", 1765000000000}};
+  this->Put("servers/" + instance.id, absl::Base64Escape(record.dump()), 0);
+}
+
+void StandinUsersPlatform::State::Receive(int number, const std::shared_ptr<Connection>& connection,
+                                          std::string_view bytes) {
+  connection->partial.append(bytes);
+  std::size_t end = 0;
+  while ((end = connection->partial.find("\r\n")) != std::string::npos) {
+    std::string line = connection->partial.substr(0, end);
+    connection->partial.erase(0, end + 2);
+    this->HandleLine(number, connection, std::move(line));
+  }
+}
+
+std::string StandinUsersPlatform::State::Ready(const Connection& connection) const {
+  return absl::StrCat("READY ", connection.transaction ? "T " : "I ", this->term, ".",
+                      this->log_end, "\r\n");
+}
+
+void StandinUsersPlatform::State::HandleLine(int number,
+                                             const std::shared_ptr<Connection>& connection,
+                                             std::string line) {
+  const std::vector<std::string> words = absl::StrSplit(line, ' ');
+  if (words[0] == "QUERY") {
+    this->Query(number, connection, std::move(line));
+    return;
+  }
+  const Instance& instance = this->instances[static_cast<std::size_t>(number)];
+  const bool known = words[0] == "STARTUP" && words.size() >= 3 && words[1] == kService &&
+                     (words.size() < 4 || words[3] == instance.id);
+  connection->stream->Send(known ? this->Ready(*connection) : "ERR MISROUTED wrong instance\r\n");
+  if (!known) {
+    connection->stream->CloseAfterSending();
+  }
+}
+
+void StandinUsersPlatform::State::Commit(const std::map<std::string, std::string>& writes) {
+  if (writes.empty()) {
+    return;
+  }
+  ++this->log_end;
+  for (const auto& [item, data] : writes) {
+    ++this->commits[data];
+    for (Instance& instance : this->instances) {
+      if (instance.running) {
+        instance.values[item] = data;
+      }
+    }
+  }
+}
+
+void StandinUsersPlatform::State::Query(int number, const std::shared_ptr<Connection>& connection,
+                                        std::string line) {
+  std::vector<std::string> words = absl::StrSplit(line, ' ');
+  words.erase(words.begin(), words.begin() + 2);
+  if (words[0] == "AFTER") {
+    words.erase(words.begin(), words.begin() + 2);
+  }
+  Instance& instance = this->instances[static_cast<std::size_t>(number)];
+  const bool leads = number == this->primary;
+  const std::string& word = words[0];
+  bool write = word == "WRITE";
+  std::string answer = absl::StrCat("DONE proof-", instance.id, "\r\n");
+  if (word == "EXEC") {
+    write = connection->prepared[words[1]];
+    words.erase(words.begin());
+  }
+  if ((write || (word == "BEGIN" && words.size() == 1)) && !leads) {
+    answer = absl::StrCat("ERR READONLY ", instance.id, "\r\n");
+  } else if (word == "BEGIN") {
+    connection->transaction = true;
+  } else if (word == "COMMIT" || word == "ROLLBACK") {
+    if (word == "COMMIT") {
+      this->Commit(connection->writes);
+    }
+    connection->transaction = false;
+    connection->writes.clear();
+  } else if (word == "PREPARE") {
+    connection->prepared[words[1]] = words[2] == "WRITE";
+  } else if (word == "RESET") {
+    connection->prepared.clear();
+  } else if (word == "STATUS") {
+    answer = absl::StrCat("ROW ", leads ? "primary " : "replica ", this->term, " ", this->term, ".",
+                          this->log_end, " 0 0 0 1\r\nDONE -\r\n");
+  } else if (write) {
+    connection->writes[words[1]] = words.size() > 2 ? words[2] : "";
+    if (!connection->transaction) {
+      this->Commit(std::exchange(connection->writes, {}));
+    }
+  } else if (word == "READ" || word == "EXEC") {
+    answer = absl::StrCat("ROW ", instance.values[words[1]], "\r\n", answer);
+  }
+  connection->stream->Send(answer + this->Ready(*connection));
+}
+
+StandinUsersPlatform::StandinUsersPlatform(int instance_count) : state(std::make_unique<State>()) {
+  const auto port = this->state->http.Listen(Endpoint{"127.0.0.1", 0});
+  this->address = Endpoint{"127.0.0.1", port.value_or(0)};
+  this->state->Run<bool>([this, instance_count] {
+    this->state->instances.reserve(static_cast<std::size_t>(instance_count));
+    for (int i = 0; i < instance_count; ++i) {
+      this->state->AddInstance(i);
+    }
+    return true;
+  });
+}
+
+StandinUsersPlatform::~StandinUsersPlatform() {
+  this->state->loop.Stop();
+  this->state->loop.Join();
+}
+
+void StandinUsersPlatform::Configure(int version, const std::vector<std::string>& routes) {
+  Json body = {{"version", version}, {"routes", Json::array()}, {"services", Json::array()}};
+  for (const std::string& route : routes) {
+    const std::vector<std::string> parts = absl::StrSplit(route, '=');
+    body["routes"].push_back({{"name", "r-" + parts[0]},
+                              {"host", parts[0]},
+                              {"type", parts[1]},
+                              {"timeoutMs", 2000},
+                              {"sloMs", 2000},
+                              {"priority", 1},
+                              {"service", kService},
+                              {"maxStalenessMs", 1500}});
+  }
+  body["services"].push_back({{"name", kService}, {"maxConns", 21}, {"syncReplicas", 0}});
+  body["limits"] = {{"txIdleMs", 3000}, {"idleTimeoutMs", 15000}};
+  this->state->Run<bool>([this, &body] {
+    this->state->Put("op/config", absl::Base64Escape(body.dump()), 0);
+    return true;
+  });
+}
+
+void StandinUsersPlatform::KillInstance(int number) {
+  this->state->Run<bool>([this, number] {
+    State::Instance& instance = this->state->instances[static_cast<std::size_t>(number)];
+    instance.running = false;
+    instance.server->Stop();
+    for (const auto& connection : instance.connections) {
+      connection->stream->Close();
+    }
+    return true;
+  });
+}
+
+void StandinUsersPlatform::DrainInstance(int number) {
+  this->state->Run<bool>([this, number] {
+    State::Instance& instance = this->state->instances[static_cast<std::size_t>(number)];
+    instance.draining = true;
+    this->state->Register(instance);
+    return true;
+  });
+}
+
+void StandinUsersPlatform::SetStoreDown(bool down) {
+  this->state->Run<bool>([this, down] {
+    this->state->down = down;
+    return true;
+  });
+}
+
+int StandinUsersPlatform::Primary() {
+  return this->state->Run<int>([this] { return this->state->primary; });
+}
+
+int StandinUsersPlatform::Promotions() {
+  return this->state->Run<int>([this] { return this->state->promotions; });
+}
+
+std::optional<std::string> StandinUsersPlatform::ValueAt(int number, const std::string& item) {
+  return this->state->Run<std::optional<std::string>>(
+      [this, number, item]() -> std::optional<std::string> {
+        const auto& values = this->state->instances[static_cast<std::size_t>(number)].values;
+        const auto found = values.find(item);
+        return found == values.end() ? std::nullopt : std::optional<std::string>(found->second);
+      });
+}
+
+int StandinUsersPlatform::CommitsOf(const std::string& data) {
+  return this->state->Run<int>([this, data] { return this->state->commits[data]; });
+}
+
+}  // namespace sycamoredrum
