Test that a revoked grant confirms nothing after a late renewal

Change: one more check in ARevokedGenerationIsNotRenewed. With the mechanism off it fails, with it on 37 of 37 pass. Epoch fencing switched off fails EarlierLeadersAreNotObeyed already. No change of behaviour.

--- a/src/include/sycamoredrum/primary_authority.h
+++ b/src/include/sycamoredrum/primary_authority.h
@@ -75,7 +75,7 @@
 enum class PromoteOutcome {
   kAccepted,
   kNotRunning,  ///< The named server does not run; nothing happened.
-  kNotDone,     ///< Refused for now; nothing happened.
+  kNotDone,     ///< Refused, for example for its rate; nothing happened.
   kUnknown,     ///< No answer; the promotion may have happened.
 };
 
--- a/src/relay/relay_parts_test.cc
+++ b/src/relay/relay_parts_test.cc
@@ -77,6 +77,7 @@
   EXPECT_FALSE(this->grants.StillValid("db", 3));
   this->grants.Renew("db", this->Make(3, 1));
   EXPECT_FALSE(this->grants.Current("db"));
+  EXPECT_FALSE(this->grants.StillValid("db", 3)) << "a write under way must not be confirmed";
   this->grants.Renew("db", this->Make(4, 1));
   EXPECT_TRUE(this->grants.Current("db"));
 }
