Close connections beyond the peak of the last second

Cause: after a power loss, the connections of the dead processes count against a server's cap for 3 s. Change: a pool closes what was never needed at the same time as the rest during a second.

--- a/src/include/sycamoredrum/connection_pool.h
+++ b/src/include/sycamoredrum/connection_pool.h
@@ -111,6 +111,12 @@
   /// Closes connections that nobody has leased for `limit`.
   void CloseUnused(Duration limit);
 
+  /// Closes what was never needed at the same time as the rest during `window`, but keeps one
+  /// connection. To be called often; acts once in each window.
+  /// Load pattern: a VM loses power, and its connections count against the server's cap until the
+  /// server notices, while the restarted process needs others.
+  void CloseSurplus(Duration window);
+
   /// While set, no lease is granted, waiting requests are refused and connections are closed as
   /// soon as they are released.
   void SetLeaving(bool value);
@@ -163,7 +169,9 @@
   bool leaving = false;
   std::map<ConnectionId, Connection> connections;
   std::vector<ConnectionId> idle;  ///< The last one released is used first.
-  std::set<std::uint64_t> opens;   ///< Numbers of the opens in progress.
+  std::size_t least_idle = 0;      ///< Fewest idle connections since `surplus_since`.
+  TimePoint surplus_since;
+  std::set<std::uint64_t> opens;  ///< Numbers of the opens in progress.
   std::map<std::uint64_t, Waiter> waiting;
   std::map<std::string, int> leases_by_group;
   std::deque<TimePoint> reductions;  ///< Ends of the reductions in force.
--- a/src/include/sycamoredrum/connection_shares.h
+++ b/src/include/sycamoredrum/connection_shares.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 
 namespace sycamoredrum {
@@ -14,9 +15,11 @@
 inline constexpr int kLeastShare = 2;
 
 /// Splits the connections of one backend server between processes by their demand, the mean number
-/// of statements that run or wait there.
-/// Load pattern: one process of a small data centre takes as many callers as several of a large
-/// one.
-std::map<std::string, int> ShareConnections(int cap, const std::map<std::string, double>& demand);
+/// of statements that run or wait there. A process whose demand is not known counts as the mean of
+/// the others.
+/// Load patterns: one process of a small data centre takes as many callers as several of a large
+/// one; all processes restart, and the first ones to report would get the shares of the others.
+std::map<std::string, int> ShareConnections(
+    int cap, const std::map<std::string, std::optional<double>>& demand);
 
 }  // namespace sycamoredrum
--- a/src/include/sycamoredrum/session_relay.h
+++ b/src/include/sycamoredrum/session_relay.h
@@ -75,6 +75,8 @@
   /// Unused connections are closed after this time, sooner to servers whose connections are scarce.
   static constexpr Duration kUnusedLimit = std::chrono::seconds(10);
   static constexpr Duration kScarceUnusedLimit = std::chrono::milliseconds(800);
+  /// Connections beyond the most that were needed at once are closed after this time.
+  static constexpr Duration kSurplusWindow = std::chrono::milliseconds(1000);
   /// Attempts of one statement, the first one included.
   static constexpr int kMaxAttempts = 6;
   /// Part of the latency objective that a statement may wait for a connection.
--- a/src/pool/connection_pool.cc
+++ b/src/pool/connection_pool.cc
@@ -12,6 +12,7 @@
       clock(clock),
       scheduler(scheduler),
       queue(clock, max_waiting),
+      surplus_since(clock.Now()),
       opens_paused_until(clock.Now()) {}
 
 void ConnectionPool::Acquire(const LeaseRequest& request, LeaseCallback callback) {
@@ -98,6 +99,22 @@
   }
 }
 
+void ConnectionPool::CloseSurplus(Duration window) {
+  const TimePoint now = this->clock.Now();
+  if (now - this->surplus_since < window) {
+    return;
+  }
+  const std::size_t closable = this->Total() - std::min<std::size_t>(this->Total(), 1);
+  std::size_t surplus = std::min(std::min(this->least_idle, this->idle.size()), closable);
+  for (; surplus > 0; --surplus) {
+    const ConnectionId connection = this->idle.front();
+    this->idle.erase(this->idle.begin());
+    this->Close(connection);
+  }
+  this->least_idle = this->idle.size();
+  this->surplus_since = now;
+}
+
 void ConnectionPool::SetLeaving(bool value) {
   this->leaving = value;
   if (value) {
@@ -169,6 +186,7 @@
   }
   const ConnectionId id = *chosen;
   this->idle.erase(chosen);
+  this->least_idle = std::min(this->least_idle, this->idle.size());
   return id;
 }
 
--- a/src/pool/connection_pool_test.cc
+++ b/src/pool/connection_pool_test.cc
@@ -282,6 +282,45 @@
   EXPECT_EQ(h.closed.count(h.answers.at(kept).lease.connection), 0u) << "a leased connection stays";
 }
 
+// Load pattern: ten statements at once, then two at a time. The eight other connections would count
+// against the server's cap for seconds if this VM lost power.
+TEST(ConnectionPoolTest, ConnectionsBeyondThePeakOfTheLastWindowAreClosed) {
+  PoolHarness h(10);
+  std::vector<int> burst;
+  for (int i = 0; i < 10; ++i) {
+    burst.push_back(h.Acquire("orders"));
+  }
+  while (!h.opens.empty()) {
+    h.AnswerAllOpens(OpenStatus::kOpened);
+  }
+  ASSERT_EQ(h.pool.Leased(), 10u);
+  for (const int request : burst) {
+    h.pool.Release(h.answers.at(request).lease, ConnectionState::kClean);
+  }
+  const Duration window = seconds(1);
+  for (int step = 0; step < 30; ++step) {
+    const int first = h.Acquire("orders");
+    const int second = h.Acquire("orders");
+    h.pool.CloseSurplus(window);
+    h.pool.Release(h.answers.at(first).lease, ConnectionState::kClean);
+    h.pool.Release(h.answers.at(second).lease, ConnectionState::kClean);
+    h.clock.Advance(milliseconds(100));
+  }
+  EXPECT_EQ(h.pool.Total(), 2u);
+}
+
+TEST(ConnectionPoolTest, TheLastConnectionIsNoSurplus) {
+  PoolHarness h(4);
+  const int request = h.Acquire("orders");
+  h.AnswerOpen(OpenStatus::kOpened);
+  h.pool.Release(h.answers.at(request).lease, ConnectionState::kClean);
+  for (int step = 0; step < 30; ++step) {
+    h.pool.CloseSurplus(seconds(1));
+    h.clock.Advance(milliseconds(100));
+  }
+  EXPECT_EQ(h.pool.Total(), 1u);
+}
+
 // Load pattern: sessions with different variables share connections. Setting variables again costs
 // a round trip, so a session gets the connection that has them already.
 TEST(ConnectionPoolTest, TheCheapestIdleConnectionIsLeased) {
--- a/src/relay/session_relay.cc
+++ b/src/relay/session_relay.cc
@@ -343,6 +343,7 @@
     server->demand += (wanted - server->demand) * kDemandSmoothing;
     const bool scarce = this->impl->Limit(*server) <= kInitialShare;
     server->pool->CloseUnused(scarce ? kScarceUnusedLimit : kUnusedLimit);
+    server->pool->CloseSurplus(kSurplusWindow);
   }
   this->GrantsChanged();
 }
