Let one read ask the primary for a position after a restart

The leader also gave the connections of members that had not yet reported to those that had: shares of 109 of a cap of 43. Change: the first read asks the primary, the others wait for its position, 250 ms at most; a connection that is opened to a primary under a grant brings a position, too. A member that the leader has not heard of counts with the mean demand of the others, and the first samples of the demand weigh more. Ruled out: slots of the primaries as the only limit (replicas were idle). Tests: ReadsAfterARestartUseReplicas fails without the wait (60 of 60 reads at the primary), UnknownDemandCountsAsTheMean.

--- a/src/include/sycamoredrum/session_relay.h
+++ b/src/include/sycamoredrum/session_relay.h
@@ -77,6 +77,9 @@
   static constexpr Duration kScarceUnusedLimit = std::chrono::milliseconds(800);
   /// Connections beyond the most that were needed at once are closed after this time.
   static constexpr Duration kSurplusWindow = std::chrono::milliseconds(1000);
+  /// Longest wait of a read for the position that another one asks for. It covers a new connection
+  /// and one statement between data centres.
+  static constexpr Duration kPositionWait = std::chrono::milliseconds(250);
   /// Attempts of one statement, the first one included.
   static constexpr int kMaxAttempts = 6;
   /// Part of the latency objective that a statement may wait for a connection.
--- a/src/leader/connection_shares_test.cc
+++ b/src/leader/connection_shares_test.cc
@@ -30,7 +30,7 @@
 TEST(ConnectionSharesTest, ExceedTheSharedPartOnlyByTheLeastShares) {
   for (int cap = 1; cap < 70; ++cap) {
     for (int processes = 1; processes < 90; processes += 7) {
-      std::map<std::string, double> demand;
+      std::map<std::string, std::optional<double>> demand;
       for (int i = 0; i < processes; ++i) {
         demand["p" + std::to_string(i)] = (i * 37 % 11) / 3.0;
       }
@@ -40,10 +40,26 @@
   }
 }
 
+// Load pattern: all processes restart. Two of eight have reported what they need; the others still
+// get their part.
+TEST(ConnectionSharesTest, UnknownDemandCountsAsTheMean) {
+  const auto shares = ShareConnections(43, {{"a", 12},
+                                            {"b", 8},
+                                            {"c", std::nullopt},
+                                            {"d", std::nullopt},
+                                            {"e", std::nullopt},
+                                            {"f", std::nullopt},
+                                            {"g", std::nullopt},
+                                            {"h", std::nullopt}});
+  EXPECT_LE(Sum(shares), 43);
+  EXPECT_GE(shares.at("h"), 4);
+  EXPECT_GT(shares.at("a"), shares.at("b"));
+}
+
 // Load pattern: more processes than connections, each with a statement now and then. A split of the
 // cap would leave most of them without any.
 TEST(ConnectionSharesTest, EveryOneOfManyProcessesMayOpenAConnection) {
-  std::map<std::string, double> demand;
+  std::map<std::string, std::optional<double>> demand;
   for (int i = 0; i < 78; ++i) {
     demand["p" + std::to_string(100 + i)] = i < 10 ? 2.0 : 0.0;
   }
--- a/src/leader/primary_authority.cc
+++ b/src/leader/primary_authority.cc
@@ -202,11 +202,15 @@
     if (cap == this->connection_caps.end()) {
       continue;
     }
-    std::map<std::string, double> demand;
+    std::map<std::string, std::optional<double>> demand;
     for (const auto& [name, state] : this->members) {
       const bool in_contact = state.heard && now - state.heard_at < kMemberSilence;
       const auto wanted = state.report.demand.find(id);
-      demand[name] = in_contact && wanted != state.report.demand.end() ? wanted->second : 0;
+      if (state.heard) {
+        demand[name] = in_contact && wanted != state.report.demand.end() ? wanted->second : 0;
+      } else {
+        demand[name] = std::nullopt;
+      }
     }
     connections[id] = ShareConnections(cap->second, demand)[member];
   }
--- a/src/relay/caller_session.h
+++ b/src/relay/caller_session.h
@@ -75,6 +75,8 @@
 
   void Dispatch();
   void WaitForPrimary();
+  /// True if this read should wait for the position that another one asks for.
+  bool PositionIsAskedFor();
   void Acquire(const std::string& server_id, std::optional<PrimaryGrant> grant);
   void OnLease(const std::string& server_id, const std::optional<PrimaryGrant>& grant,
                const LeaseAnswer& answer);
--- a/src/relay/caller_session_dispatch.cc
+++ b/src/relay/caller_session_dispatch.cc
@@ -45,12 +45,16 @@
     this->Refuse("too many attempts", kBusyRetryDelay);
     return;
   }
+  const std::optional<PrimaryGrant> grant = this->relay.grants.Current(this->route.database);
   if (!this->attempt->needs_primary && !this->RequiredPosition()) {
     // Nothing recent enough is known of the log; the primary itself is always fresh.
+    if (!grant || this->PositionIsAskedFor()) {
+      this->WaitForPrimary();
+      return;
+    }
     this->attempt->needs_primary = true;
   }
   if (this->attempt->needs_primary) {
-    const std::optional<PrimaryGrant> grant = this->relay.grants.Current(this->route.database);
     if (!grant) {
       this->WaitForPrimary();
     } else if (this->relay.FindServer(grant->server) == nullptr) {
@@ -67,11 +71,22 @@
     this->RetryLater(kBusyRetryDelay, "no server is usable");
     return;
   }
-  std::optional<PrimaryGrant> grant = this->relay.grants.Current(this->route.database);
-  if (grant && grant->server != *server) {
-    grant.reset();
+  const bool at_primary = grant && grant->server == *server;
+  this->Acquire(*server, at_primary ? grant : std::nullopt);
+}
+
+// One read after the other asks; the position that the first one brings lets all others use
+// replicas.
+// Load pattern: all processes restart, and every read of the first second goes to the primary.
+bool RelayCallerSession::PositionIsAskedFor() {
+  const TimePoint now = this->Now();
+  std::optional<TimePoint>& until =
+      this->relay.databases[this->route.database].position_asked_until;
+  if (until && now < *until && now - this->attempt->arrived < SessionRelay::kPositionWait) {
+    return true;
   }
-  this->Acquire(*server, grant);
+  until = now + SessionRelay::kPositionWait;
+  return false;
 }
 
 // A statement that the successor of a lost primary can still serve in time is worth the wait; the
--- a/src/relay/relay_state.h
+++ b/src/relay/relay_state.h
@@ -28,11 +28,14 @@
   TimePoint unreachable_until;
   std::optional<TimePoint> failing_since;  ///< No answer since then, though it was asked.
   double demand = 0;                       ///< Moving average of the statements that run or wait.
+  int demand_samples = 0;
 };
 
 struct RelayDatabase {
   FreshnessWindow window;
-  /// Sessions that wait for a primary.
+  /// Until then, one read asks the primary for a position that others wait for.
+  std::optional<TimePoint> position_asked_until;
+  /// Sessions that wait for a primary, or for a position of its log.
   std::list<std::weak_ptr<RelayCallerSession>> waiting;
 };
 
--- a/src/relay/session_relay.cc
+++ b/src/relay/session_relay.cc
@@ -91,11 +91,19 @@
     }
   };
   BackendChannelEvents events;
-  events.opened = [this, with_server, connection, done](std::optional<LogPosition>) {
+  const std::string& database = server->record.database;
+  const std::optional<PrimaryGrant> grant = this->grants.Current(database);
+  const bool as_primary = grant && grant->server == id;
+  events.opened = [this, with_server, connection, done, database, started = this->clock.Now(),
+                   generation = as_primary ? std::optional(grant->generation)
+                                           : std::nullopt](std::optional<LogPosition> position) {
     with_server([&](RelayServer& present) {
       present.answered_at = this->clock.Now();
       present.failing_since.reset();
       present.unreachable_until = this->clock.Now();
+      if (generation && position) {
+        this->Observe(database, *generation, PositionObservation{*position, started});
+      }
       done(OpenResult{OpenStatus::kOpened, connection});
     });
   };
@@ -201,7 +209,17 @@
 
 void SessionRelay::Impl::Observe(const std::string& database, std::uint64_t generation,
                                  const PositionObservation& observation) {
-  this->databases[database].window.Observe(generation, observation);
+  RelayDatabase& observed = this->databases[database];
+  observed.window.Observe(generation, observation);
+  if (observed.position_asked_until) {
+    observed.position_asked_until.reset();
+    this->scheduler.RunAfter(Duration::zero(),
+                             [this, weak = std::weak_ptr<bool>(this->alive), database] {
+                               if (!weak.expired()) {
+                                 this->WakeWaiting(database);
+                               }
+                             });
+  }
 }
 
 void SessionRelay::Impl::WakeWaiting(const std::string& database) {
@@ -340,7 +358,9 @@
   }
   for (const auto& [id, server] : this->impl->servers) {
     const auto wanted = static_cast<double>(server->pool->Leased() + server->pool->Waiting());
-    server->demand += (wanted - server->demand) * kDemandSmoothing;
+    ++server->demand_samples;
+    const double weight = std::max(kDemandSmoothing, 1.0 / server->demand_samples);
+    server->demand += (wanted - server->demand) * weight;
     const bool scarce = this->impl->Limit(*server) <= kInitialShare;
     server->pool->CloseUnused(scarce ? kScarceUnusedLimit : kUnusedLimit);
     server->pool->CloseSurplus(kSurplusWindow);
--- a/src/relay/session_relay_load_test.cc
+++ b/src/relay/session_relay_load_test.cc
@@ -41,6 +41,44 @@
   EXPECT_GT(sent, 400);
 }
 
+// Load pattern: all processes have restarted, and the callers come back at once. No position of the
+// primary's log is known yet, so nothing shows that a replica is fresh enough.
+TEST_F(SessionRelayTest, ReadsAfterARestartUseReplicas) {
+  constexpr int kReaders = 60;
+  // No server is near.
+  auto records = this->database.Records();
+  this->relay->SetServers({});
+  for (auto& [id, record] : records) {
+    record.data_centre = "elsewhere";
+  }
+  this->relay->SetServers(records);
+  std::vector<TestCaller*> readers;
+  for (int i = 0; i < kReaders; ++i) {
+    readers.push_back(&this->Open("stock"));
+    readers.back()->session->Handle(Make(StatementKind::kRead, "r" + std::to_string(i)));
+  }
+  this->Advance(milliseconds(500));
+  int at_primary = 0;
+  for (int i = 0; i < kReaders; ++i) {
+    EXPECT_TRUE(readers[i]->LastSucceeded()) << i;
+    for (const SimulatedDatabase::Run& run : this->RunsOf("r" + std::to_string(i))) {
+      at_primary += run.server == this->database.Id(0) ? 1 : 0;
+      EXPECT_TRUE(run.server == this->database.Id(0) || run.required) << "age not shown";
+    }
+  }
+  EXPECT_LE(at_primary, kReaders / 3);
+}
+
+// Guards against reads that wait for a position that never comes: the one that asks for it may
+// have met a broken connection.
+TEST_F(SessionRelayTest, ReadsDoNotWaitForeverForAPosition) {
+  this->database.At(0).lost_answers = 1;
+  TestCaller& first = this->Open("stock");
+  first.session->Handle(Make(StatementKind::kRead, "first"));
+  TestCaller& second = this->Open("stock");
+  EXPECT_FALSE(this->Do(second, Make(StatementKind::kRead, "second"), milliseconds(600)).error);
+}
+
 // Load pattern: a server's queue is full for a moment. Reads go to another one at once.
 TEST_F(SessionRelayTest, ABusyServerIsNotAskedTwiceForOneRead) {
   TestCaller& caller = this->Open("stock");
