Keep working connections when a server's cap is reached

Cause: after a power loss, dead connections fill the cap of 21 for 3 s. With six refusals of statements in half a second, "too many attempts" followed where a primary was granted and its record not yet back in the store. Change: a refusal keeps the pool to what is open for 250 ms, then one open at a time is tried until one is admitted. A primary that is not listed is waited for without counting attempts. A new leader gets a heartbeat at once and not at the next tick.

--- a/src/include/sycamoredrum/connection_pool.h
+++ b/src/include/sycamoredrum/connection_pool.h
@@ -85,8 +85,11 @@
  public:
   /// Opens in progress at the same time; bounds the load on a backend server that returns.
   static constexpr std::size_t kMaxConcurrentOpens = 4;
-  /// How long a refused open lowers the limit by one.
-  static constexpr Duration kLimitReduction = std::chrono::seconds(1);
+  /// After a refused open the pool keeps to the connections that it has for this time. Then it
+  /// opens one at a time until the server admits one. It is short against the seconds that a server
+  /// needs to notice the end of a process, and bounds the refusals to four a second for each
+  /// holder.
+  static constexpr Duration kRefusalPause = std::chrono::milliseconds(250);
   /// Pause between attempts to reach a server; otherwise waiting requests would retry in a loop.
   static constexpr Duration kUnreachablePause = std::chrono::milliseconds(100);
   static constexpr Duration kOpenTimeout = std::chrono::seconds(1);
@@ -121,7 +124,7 @@
   /// soon as they are released.
   void SetLeaving(bool value);
 
-  /// Limit after reductions for refused opens.
+  /// Limit of the connections; after a refused open, those that are open.
   int EffectiveLimit() const;
   /// Connections that are open or being opened.
   std::size_t Total() const { return this->connections.size() + this->opens.size(); }
@@ -155,7 +158,8 @@
   void RefuseAll(LeaseStatus status, Duration retry_after);
   void Refuse(std::uint64_t waiter, LeaseStatus status, Duration retry_after);
   void ExpireWaiter(std::uint64_t waiter);
-  void ReduceLimit();
+  void PauseAfterRefusal();
+  bool Refused() const { return this->clock.Now() < this->refused_until; }
   void CloseSurplusIdle();
   void Close(ConnectionId connection);
   bool MayLease(const std::string& caller_group) const;
@@ -174,7 +178,8 @@
   std::set<std::uint64_t> opens;  ///< Numbers of the opens in progress.
   std::map<std::uint64_t, Waiter> waiting;
   std::map<std::string, int> leases_by_group;
-  std::deque<TimePoint> reductions;  ///< Ends of the reductions in force.
+  TimePoint refused_until;  ///< End of the pause after a refused open.
+  bool careful = false;     ///< The last answer to an open was a refusal.
   TimePoint opens_paused_until;
   OpenStatus last_open = OpenStatus::kUnreachable;
   std::uint64_t next_number = 1;
--- a/src/pool/connection_pool.cc
+++ b/src/pool/connection_pool.cc
@@ -13,6 +13,7 @@
       scheduler(scheduler),
       queue(clock, max_waiting),
       surplus_since(clock.Now()),
+      refused_until(clock.Now()),
       opens_paused_until(clock.Now()) {}
 
 void ConnectionPool::Acquire(const LeaseRequest& request, LeaseCallback callback) {
@@ -126,10 +127,8 @@
 }
 
 int ConnectionPool::EffectiveLimit() const {
-  const TimePoint now = this->clock.Now();
-  const auto in_force = std::count_if(this->reductions.begin(), this->reductions.end(),
-                                      [now](TimePoint end) { return end > now; });
-  return std::max(this->limit - static_cast<int>(in_force), 0);
+  return this->Refused() ? std::min(this->limit, static_cast<int>(this->connections.size()))
+                         : this->limit;
 }
 
 // Callbacks may call the pool again; such calls only ask for another pass, so that the stack does
@@ -200,7 +199,8 @@
 }
 
 void ConnectionPool::StartOpens() {
-  while (!this->leaving && this->opens.size() < kMaxConcurrentOpens &&
+  const std::size_t concurrent = this->careful ? 1 : kMaxConcurrentOpens;
+  while (!this->leaving && this->opens.size() < concurrent &&
          this->opens.size() < this->queue.Size() &&
          this->Total() < static_cast<std::size_t>(this->EffectiveLimit()) &&
          this->clock.Now() >= this->opens_paused_until) {
@@ -236,6 +236,7 @@
     return;
   }
   this->last_open = result.status;
+  this->careful = result.status == OpenStatus::kRefused;
   if (opened) {
     Connection connection;
     connection.idle_since = this->clock.Now();
@@ -243,7 +244,7 @@
     this->idle.push_back(result.connection);
     this->CloseSurplusIdle();
   } else if (result.status == OpenStatus::kRefused) {
-    this->ReduceLimit();
+    this->PauseAfterRefusal();
   } else {
     this->opens_paused_until = this->clock.Now() + kUnreachablePause;
     this->RunLater(kUnreachablePause, [this] { this->Dispatch(); });
@@ -251,14 +252,11 @@
   this->Dispatch();
 }
 
-void ConnectionPool::ReduceLimit() {
-  this->reductions.push_back(this->clock.Now() + kLimitReduction);
-  this->RunLater(kLimitReduction, [this] {
-    while (!this->reductions.empty() && this->reductions.front() <= this->clock.Now()) {
-      this->reductions.pop_front();
-    }
-    this->Dispatch();
-  });
+// The connections that are open are worth keeping: the server is full, and would not admit others
+// in their place.
+void ConnectionPool::PauseAfterRefusal() {
+  this->refused_until = this->clock.Now() + kRefusalPause;
+  this->RunLater(kRefusalPause, [this] { this->Dispatch(); });
 }
 
 void ConnectionPool::CloseSurplusIdle() {
@@ -277,7 +275,7 @@
   } else if (this->Total() == 0 && this->queue.Size() > 0) {
     const bool unreachable = this->last_open == OpenStatus::kUnreachable && this->limit > 0;
     this->RefuseAll(unreachable ? LeaseStatus::kUnreachable : LeaseStatus::kConnectionRefused,
-                    unreachable ? kUnreachablePause : kLimitReduction);
+                    unreachable ? kUnreachablePause : kRefusalPause);
   }
 }
 
--- a/src/relay/caller_session_dispatch.cc
+++ b/src/relay/caller_session_dispatch.cc
@@ -58,7 +58,8 @@
     if (!grant) {
       this->WaitForPrimary();
     } else if (this->relay.FindServer(grant->server) == nullptr) {
-      this->RetryLater(kPrimaryRetryDelay, "the primary is not listed");
+      // Its record is missing or not read yet, for example after an outage of the store.
+      this->WaitForPrimary();
     } else {
       this->Acquire(grant->server, grant);
     }
--- a/src/relay_daemon/fleet_registration.cc
+++ b/src/relay_daemon/fleet_registration.cc
@@ -108,6 +108,7 @@
   this->answer_stamp = 0;
   this->heartbeat_wanted = true;
   this->logger.Info("leader_changed", {{"leader", record.member}, {"epoch", absl::StrCat(epoch)}});
+  this->SendHeartbeat();
 }
 
 }  // namespace sycamoredrum
