Share connections four times a second; call them scarce by the cap

Change: shares are computed every 250 ms for all; connections are scarce if the cap is below two for each process. A statement refused after many attempts names the last problem.

--- a/src/include/sycamoredrum/primary_authority.h
+++ b/src/include/sycamoredrum/primary_authority.h
@@ -158,6 +158,9 @@
   static constexpr Duration kHandOverPause = std::chrono::seconds(3);
   /// A successor that does not lead within this time is named again.
   static constexpr Duration kConfirmationLimit = std::chrono::milliseconds(2400);
+  /// The shares of connections are computed this often. They need servers times members steps, and
+  /// a fleet of 80 sends 160 heartbeats a second.
+  static constexpr Duration kSharesInterval = std::chrono::milliseconds(250);
   /// A member without a heartbeat for this time counts as out of contact.
   static constexpr Duration kMemberSilence = std::chrono::milliseconds(1600);
 
@@ -266,7 +269,8 @@
   void Confirm(const std::string& name, Database& database);
   void OnConfirm(const std::string& name, Database& database, const BackendProbe& probe);
   void CheckContact();
-  std::map<std::string, int> ConnectionsOf(const std::string& member) const;
+  const std::map<std::string, int>& ConnectionsOf(const std::string& member);
+  void ComputeShares();
   std::vector<const BackendServerRecord*> ServersOf(const std::string& database) const;
   const BackendServerRecord* Find(const std::string& server) const;
   Database* AtStep(const std::string& name, std::uint64_t step);
@@ -283,6 +287,8 @@
   std::map<std::string, Member> members;
   std::map<std::string, Database> databases;
   std::map<std::string, int> connection_caps;
+  std::map<std::string, std::map<std::string, int>> shares;  ///< By member and backend server.
+  TimePoint shares_at;
   int promotes_under_way = 0;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);  ///< Expires with the object.
 };
--- a/src/include/sycamoredrum/session_relay.h
+++ b/src/include/sycamoredrum/session_relay.h
@@ -98,6 +98,8 @@
   void SetServers(const std::map<std::string, BackendServerRecord>& records);
   /// Connections that this process may open, by backend server.
   void SetShares(const std::map<std::string, int>& connections);
+  /// Number of processes that share the servers' connections.
+  void SetFleetSize(std::size_t processes);
   /// Continues statements that wait for a primary.
   void GrantsChanged();
   /// While set, statements that have no server are refused early: no grant can arrive, and other
--- a/src/leader/primary_authority.cc
+++ b/src/leader/primary_authority.cc
@@ -17,7 +17,8 @@
       clock(clock),
       scheduler(scheduler),
       logger(logger),
-      began(clock.Now()) {}
+      began(clock.Now()),
+      shares_at(clock.Now()) {}
 
 void PrimaryAuthority::Begin(std::uint64_t new_epoch, std::map<std::string, PrimaryRecord> records,
                              std::map<std::string, std::uint64_t> revisions,
@@ -194,9 +195,17 @@
   return grants;
 }
 
-std::map<std::string, int> PrimaryAuthority::ConnectionsOf(const std::string& member) const {
-  std::map<std::string, int> connections;
+const std::map<std::string, int>& PrimaryAuthority::ConnectionsOf(const std::string& member) {
+  if (this->clock.Now() - this->shares_at >= kSharesInterval || this->shares.count(member) == 0) {
+    this->ComputeShares();
+  }
+  return this->shares[member];
+}
+
+void PrimaryAuthority::ComputeShares() {
   const TimePoint now = this->clock.Now();
+  this->shares_at = now;
+  this->shares.clear();
   for (const auto& [id, server] : this->servers) {
     const auto cap = this->connection_caps.find(server.database);
     if (cap == this->connection_caps.end()) {
@@ -206,15 +215,15 @@
     for (const auto& [name, state] : this->members) {
       const bool in_contact = state.heard && now - state.heard_at < kMemberSilence;
       const auto wanted = state.report.demand.find(id);
+      std::optional<double>& entry = demand[name];
       if (state.heard) {
-        demand[name] = in_contact && wanted != state.report.demand.end() ? wanted->second : 0;
-      } else {
-        demand[name] = std::nullopt;
+        entry = in_contact && wanted != state.report.demand.end() ? wanted->second : 0;
       }
     }
-    connections[id] = ShareConnections(cap->second, demand)[member];
+    for (const auto& [name, share] : ShareConnections(cap->second, demand)) {
+      this->shares[name][id] = share;
+    }
   }
-  return connections;
 }
 
 std::vector<std::string> PrimaryAuthority::SilentMembers(Duration silence) const {
--- a/src/relay/caller_session.h
+++ b/src/relay/caller_session.h
@@ -49,6 +49,7 @@
     TimePoint arrived;
     TimePoint deadline;  ///< The statement's own time limit.
     int tries = 0;
+    std::string last_problem;  ///< Why the last try ended without an answer.
     std::set<std::string> tried;  ///< Servers that failed it.
     bool needs_primary = false;
     bool waiting = false;  ///< No step is under way; Continue may start one.
--- a/src/relay/caller_session_dispatch.cc
+++ b/src/relay/caller_session_dispatch.cc
@@ -1,3 +1,5 @@
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -47,7 +49,8 @@
     return;
   }
   if (++this->attempt->tries > SessionRelay::kMaxAttempts) {
-    this->Refuse("too many attempts", kBusyRetryDelay);
+    this->Refuse(absl::StrCat("too many attempts, the last one: ", this->attempt->last_problem),
+                 kBusyRetryDelay);
     return;
   }
   const std::optional<PrimaryGrant> grant = this->relay.grants.Current(this->route.database);
--- a/src/relay/caller_session_result.cc
+++ b/src/relay/caller_session_result.cc
@@ -94,7 +94,8 @@
   } else {
     delay = kBusyRetryDelay;
   }
-  this->RetryLater(delay, std::string(ToString(error.code)));
+  this->RetryLater(
+      delay, absl::StrCat(std::string(ToString(error.code)), " from ", this->attempt->server));
 }
 
 void RelayCallerSession::OnAnswer(const StatementResult& answer) {
@@ -169,6 +170,7 @@
     return;
   }
   this->attempt->waiting = false;
+  this->attempt->last_problem = reason;
   if (delay <= Duration::zero() && !this->held) {
     this->Dispatch();
     return;
--- a/src/relay/relay_state.h
+++ b/src/relay/relay_state.h
@@ -50,6 +50,8 @@
   void UpdateLimits();
   void Count(const std::string& route, const std::string& outcome, Duration elapsed);
   int Limit(const RelayServer& server) const;
+  /// True if the server does not admit the least share of every process at the same time.
+  bool Scarce(const RelayServer& server) const;
   void OpenConnection(const std::string& id, const OpenCallback& done);
   void CloseConnection(const std::string& id, ConnectionId connection);
   /// Server for a read, or nothing if none is usable.
@@ -76,6 +78,7 @@
   std::set<RelayCallerSession*> sessions;
   std::map<std::string, int> shares;
   bool cut_off = false;
+  std::size_t fleet_size = 1;
   ConnectionId next_connection = 1;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);  ///< Expires with the relay.
 };
--- a/src/relay/session_relay.cc
+++ b/src/relay/session_relay.cc
@@ -49,6 +49,12 @@
   return share == this->shares.end() ? kInitialShare : share->second;
 }
 
+bool SessionRelay::Impl::Scarce(const RelayServer& server) const {
+  const auto cap = this->configuration->connection_caps.find(server.record.database);
+  return cap != this->configuration->connection_caps.end() &&
+         static_cast<std::size_t>(cap->second) < this->fleet_size * kInitialShare;
+}
+
 void SessionRelay::Impl::UpdateLimits() {
   for (const auto& [id, server] : this->servers) {
     server->pool->SetLimit(this->Limit(*server));
@@ -321,6 +327,8 @@
   }
 }
 
+void SessionRelay::SetFleetSize(std::size_t processes) { this->impl->fleet_size = processes; }
+
 void SessionRelay::SetCutOff(bool value) {
   if (std::exchange(this->impl->cut_off, value) == value || !value) {
     return;
@@ -374,8 +382,7 @@
     ++server->demand_samples;
     const double weight = std::max(kDemandSmoothing, 1.0 / server->demand_samples);
     server->demand += (wanted - server->demand) * weight;
-    const bool scarce = this->impl->Limit(*server) <= kInitialShare;
-    server->pool->CloseUnused(scarce ? kScarceUnusedLimit : kUnusedLimit);
+    server->pool->CloseUnused(this->impl->Scarce(*server) ? kScarceUnusedLimit : kUnusedLimit);
     server->pool->CloseSurplus(kSurplusWindow);
   }
   this->GrantsChanged();
--- a/src/relay_daemon/fleet_registration.cc
+++ b/src/relay_daemon/fleet_registration.cc
@@ -96,6 +96,7 @@
     this->members[member] = *record;
     this->member_revisions[member] = event.item.revision;
   }
+  this->relay.SetFleetSize(this->members.size());
   this->leader_part.SetMembers(this->member_revisions);
 }
 
