Take the records of backend servers from the leader

Change: a member that hears the leader gets the records of backend servers from it (the answer to a heartbeat carries their version), and makes no calls for them; its watches of the configuration and the fleet are held for 10 s and not 2 s, because heartbeats tell of new configurations, too. A member that does not hear the leader for 1.5 s lists the keys again. The leader vouches only for records that it reads itself. Ruled out: longer intervals between watches (the events of the interval are all sent, so the bytes between regions stay the same).

--- a/src/include/sycamoredrum/store_mirror.h
+++ b/src/include/sycamoredrum/store_mirror.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "sycamoredrum/clock.h"
@@ -19,6 +20,9 @@
   /// Least time between two watches, because each call has a price and a key that changes often
   /// would otherwise cause one call for each change.
   Duration watch_interval = std::chrono::milliseconds(0);
+  /// Replaces `watch_timeout` while the mirror is relaxed. Without it, a relaxed mirror makes no
+  /// calls.
+  std::optional<Duration> relaxed_watch_timeout = std::nullopt;
 };
 
 struct StoreMirrorHooks {
@@ -28,6 +32,11 @@
   std::function<void()> synchronized;
   /// The store became reachable (true) or unreachable (false) for this mirror.
   std::function<void(bool)> reachable;
+  /// Optional. The copy was compared with all keys of the store.
+  std::function<void(const std::map<std::string, KeyValue>& items)> listed = nullptr;
+  /// Optional. True while what the keys say also arrives in another way, so that fewer calls do.
+  /// Load pattern: 80 processes that watch keys which change 20 times a second.
+  std::function<bool()> relaxed = nullptr;
 };
 
 /// Local copy of all keys with a prefix, kept up to date by list and watch. Not thread-safe.
@@ -37,6 +46,8 @@
   /// return to the store at the same moment.
   static constexpr Duration kMinRetryDelay = std::chrono::milliseconds(150);
   static constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(800);
+  /// A relaxed mirror without calls looks this often whether it still is relaxed.
+  static constexpr Duration kRelaxedCheck = std::chrono::milliseconds(250);
 
   StoreMirror(const CoordinationStore& store, StoreMirrorOptions options, StoreMirrorHooks hooks,
               const Clock& clock, Scheduler& scheduler, RandomSource random);
@@ -53,6 +64,7 @@
   void List();
   void OnList(PlatformStatus status, const StorePage& page);
   void Watch();
+  bool Relaxed() const { return this->hooks.relaxed && this->hooks.relaxed(); }
   void OnWatch(WatchStatus status, const StorePage& page);
   void Apply(const StoreEvent& event);
   void Succeeded();
--- a/src/leader/store_mirror.cc
+++ b/src/leader/store_mirror.cc
@@ -65,17 +65,28 @@
   if (!std::exchange(this->synchronized, true)) {
     this->hooks.synchronized();
   }
+  if (this->hooks.listed) {
+    this->hooks.listed(this->items);
+  }
   this->Watch();
 }
 
 void StoreMirror::Watch() {
+  const bool relaxed = this->synchronized && this->reachable && this->Relaxed();
+  if (relaxed && !this->options.relaxed_watch_timeout) {
+    // The history of the pause may be gone by its end.
+    this->must_list = true;
+    this->Later(kRelaxedCheck, &StoreMirror::Watch);
+    return;
+  }
   if (this->must_list) {
     this->List();
     return;
   }
   this->watch_started = this->clock.Now();
   this->store.watch(
-      this->options.prefix, this->revision, this->options.watch_timeout,
+      this->options.prefix, this->revision,
+      relaxed ? *this->options.relaxed_watch_timeout : this->options.watch_timeout,
       [this, weak = std::weak_ptr<bool>(this->alive)](WatchStatus status, const StorePage& page) {
         if (!weak.expired()) {
           this->OnWatch(status, page);
--- /dev/null
+++ b/src/leader/store_mirror_test.cc
@@ -0,0 +1,124 @@
+#include "sycamoredrum/store_mirror.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "sycamoredrum/manual_clock.h"
+
+namespace sycamoredrum {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A store of one prefix whose watches end when their time is over.
+class StoreMirrorTest : public testing::Test {
+ protected:
+  CoordinationStore Hooks() {
+    CoordinationStore store;
+    store.list = [this](const std::string&, const CoordinationStore::PageCallback& callback) {
+      ++this->lists;
+      this->clock.RunAfter(milliseconds(4), [this, callback] {
+        StorePage page;
+        for (const auto& [key, item] : this->items) {
+          page.items.push_back(item);
+        }
+        page.revision = this->revision;
+        callback(this->down ? PlatformStatus::kUnavailable : PlatformStatus::kOk, page);
+      });
+    };
+    store.watch = [this](const std::string&, std::uint64_t after, Duration timeout,
+                         const CoordinationStore::WatchCallback& callback) {
+      ++this->watches;
+      this->clock.RunAfter(timeout, [after, callback, this] {
+        StorePage page;
+        page.revision = after;
+        callback(this->down ? WatchStatus::kUnavailable : WatchStatus::kOk, page);
+      });
+    };
+    return store;
+  }
+
+  void Make(std::optional<Duration> relaxed_watch_timeout) {
+    StoreMirrorOptions options;
+    options.prefix = "servers/";
+    options.relaxed_watch_timeout = relaxed_watch_timeout;
+    StoreMirrorHooks hooks;
+    hooks.changed = [this](const StoreEvent& event) { this->events.push_back(event); };
+    hooks.synchronized = [] {};
+    hooks.reachable = [](bool) {};
+    hooks.relaxed = [this] { return this->relaxed; };
+    this->mirror.emplace(this->store, options, hooks, this->clock, this->clock, [] { return 0; });
+    this->mirror->Start();
+  }
+
+  void Put(const std::string& key) { this->items[key] = KeyValue{key, "value", ++this->revision}; }
+
+  int Calls() const { return this->lists + this->watches; }
+
+  ManualClock clock;
+  std::map<std::string, KeyValue> items;
+  std::uint64_t revision = 1;
+  int lists = 0;
+  int watches = 0;
+  bool relaxed = false;
+  bool down = false;
+  std::vector<StoreEvent> events;
+  const CoordinationStore store = Hooks();
+  std::optional<StoreMirror> mirror;
+};
+
+// Load pattern: 80 processes watch keys that change 20 times a second. Those that the leader
+// informs make no calls.
+TEST_F(StoreMirrorTest, ARelaxedMirrorMakesNoCallsAndListsAfterwards) {
+  this->Put("servers/a");
+  this->Put("servers/b");
+  this->Make(std::nullopt);
+  this->clock.Advance(seconds(3));
+  ASSERT_EQ(this->events.size(), 2u);
+  this->relaxed = true;
+  this->clock.Advance(seconds(3));  // The watch under way ends.
+  const int before = this->Calls();
+  this->clock.Advance(seconds(60));
+  EXPECT_EQ(this->Calls(), before);
+  this->items.erase("servers/a");
+  this->Put("servers/c");
+  this->relaxed = false;
+  this->clock.Advance(StoreMirror::kRelaxedCheck + milliseconds(10));
+  ASSERT_EQ(this->events.size(), 4u);
+  EXPECT_EQ(this->events[2].item.key, "servers/c");
+  EXPECT_TRUE(this->events[3].removed);
+  EXPECT_EQ(this->events[3].item.key, "servers/a");
+}
+
+TEST_F(StoreMirrorTest, ARelaxedMirrorHoldsWatchesLonger) {
+  this->Make(seconds(10));
+  this->clock.Advance(seconds(20));
+  EXPECT_GE(this->watches, 9);
+  this->relaxed = true;
+  this->clock.Advance(seconds(2));
+  const int before = this->Calls();
+  this->clock.Advance(seconds(30));
+  EXPECT_LE(this->Calls(), before + 4);
+}
+
+// Guards against a mirror that rests on knowledge that it never had, or while the store is away.
+TEST_F(StoreMirrorTest, IsRelaxedOnlyAfterASuccessfulCall) {
+  this->relaxed = true;
+  this->down = true;
+  this->Make(std::nullopt);
+  this->clock.Advance(seconds(10));
+  EXPECT_GE(this->lists, 10);
+  EXPECT_FALSE(this->mirror->Synchronized());
+  this->down = false;
+  this->clock.Advance(seconds(1));
+  EXPECT_TRUE(this->mirror->Synchronized());
+}
+
+}  // namespace
+}  // namespace sycamoredrum
--- a/src/relay_daemon/fleet_member.cc
+++ b/src/relay_daemon/fleet_member.cc
@@ -13,6 +13,13 @@
 constexpr Duration kRevocationPoll = std::chrono::milliseconds(10);
 constexpr Duration kLeaveTimeout = std::chrono::milliseconds(600);
 
+StoreMirrorOptions MakeMirrorOptions() {
+  StoreMirrorOptions options;
+  options.prefix = kFleetPrefix;
+  options.relaxed_watch_timeout = FleetMember::kRelaxedWatchTimeout;
+  return options;
+}
+
 }  // namespace
 
 FleetMember::FleetMember(const RelayPlatform& platform, MemberRecord self,
@@ -41,8 +48,7 @@
                       },
                       [this] { this->Nudge(); }},
                   clock, loop, random, logger, metrics),
-      mirror(platform.store, StoreMirrorOptions{kFleetPrefix}, this->MakeMirrorHooks(), clock, loop,
-             random),
+      mirror(platform.store, MakeMirrorOptions(), this->MakeMirrorHooks(), clock, loop, random),
       peer_server(loop, this->identity, PeerOptions{}, this->MakeHandlers()),
       started(clock.Now()),
       last_heartbeat(clock.Now()),
@@ -64,6 +70,7 @@
     }
     HeartbeatAnswer answer = this->leader_part.OnHeartbeat(*message);
     answer.configuration = this->configuration_version;
+    answer.servers_version = this->hooks.needs_servers() ? 0 : this->own_servers_version;
     respond(PeerReply{ToJson(answer), "", ""});
   };
   handlers["revoke"] = [this, unreadable](const PeerRequest& request, PeerRespond respond) {
@@ -87,6 +94,13 @@
     this->SendHeartbeat();
     respond(PeerReply{});
   };
+  handlers["servers"] = [this](const PeerRequest&, const PeerRespond& respond) {
+    SharedState state;
+    state.epoch = this->leader_part.Epoch();
+    state.servers_version = this->hooks.needs_servers() ? 0 : this->own_servers_version;
+    state.servers = this->servers.Records();
+    respond(PeerReply{ToJson(state), "", ""});
+  };
   handlers["state"] = [this](const PeerRequest&, const PeerRespond& respond) {
     SharedState state = this->hooks.shared_state();
     state.leader = this->leader;
@@ -106,6 +120,7 @@
     this->leader_part.SetMembers(this->member_revisions);
     this->leader_part.Start();
   };
+  result.relaxed = [this] { return this->HearsLeader(); };
   result.reachable = [this](bool reachable) {
     this->logger.Info(reachable ? "store_regained" : "store_lost", {{"keys", kFleetPrefix}});
   };
@@ -271,6 +286,39 @@
   if (answer.configuration > this->configuration_version) {
     this->RequestState();
   }
+  const bool current =
+      this->servers_epoch == answer.epoch && this->servers_version == answer.servers_version;
+  if (answer.servers_version != 0 && !current && this->leader &&
+      this->leader->member != this->self.member) {
+    this->RequestServers(answer.epoch);
+  }
+}
+
+bool FleetMember::HearsLeader() const {
+  return this->leader && this->leader->member != this->self.member &&
+         this->clock.Now() - this->last_answer <= kLeaderSilence;
+}
+
+bool FleetMember::HasServersOfLeader() const {
+  return this->HearsLeader() && this->servers_version != 0 &&
+         this->servers_epoch == this->answer_epoch;
+}
+
+void FleetMember::RequestServers(std::uint64_t epoch) {
+  if (std::exchange(this->servers_under_way, true)) {
+    return;
+  }
+  this->LinkTo(this->leader->endpoint)
+      .Call("servers", "null", kRequestTimeout, [this, epoch](const PeerAnswer& reply) {
+        this->servers_under_way = false;
+        const std::optional<SharedState> state =
+            reply.Ok() ? ParseSharedState(reply.body) : std::nullopt;
+        if (state && state->epoch == epoch && state->servers_version != 0) {
+          this->servers_epoch = epoch;
+          this->servers_version = state->servers_version;
+          this->servers.Replace(state->servers);
+        }
+      });
 }
 
 // Asks the leader, or any known process while the leader is not known.
@@ -402,6 +450,7 @@
 }
 
 void FleetMember::ServersChanged(const std::map<std::string, BackendServerRecord>& records) {
+  ++this->own_servers_version;
   this->leader_part.SetServers(records);
 }
 
--- a/src/relay_daemon/fleet_member.h
+++ b/src/relay_daemon/fleet_member.h
@@ -41,6 +41,9 @@
   static constexpr Duration kRequestTimeout = std::chrono::milliseconds(700);
   /// A member without an answer of its leader for this time asks others who leads.
   static constexpr Duration kLeaderSilence = std::chrono::milliseconds(1500);
+  /// How long the store may hold a watch of a member that hears the leader, which tells it of new
+  /// configurations as well. Below the 20 s for which the store keeps its history.
+  static constexpr Duration kRelaxedWatchTimeout = std::chrono::seconds(10);
   /// A leader tells members that it does not hear of its leadership in these intervals.
   static constexpr Duration kNoticeInterval = std::chrono::milliseconds(500);
   /// Least time between heartbeats that are sent because something happened.
@@ -65,6 +68,12 @@
   void ServersChanged(const std::map<std::string, BackendServerRecord>& records);
 
   std::optional<MemberRecord> Leader() const { return this->leader; }
+  /// True if another process leads and answers, so that this one learns of changes from it.
+  bool HearsLeader() const;
+  /// True if the present records of the backend servers came from the leader, and new ones will.
+  bool HasServersOfLeader() const;
+  /// Records that were read elsewhere may be older than those of the leader; asks for them again.
+  void AskForServers() { this->servers_version = 0; }
   bool HasGrants() const;
   /// True if this process has no grant at all and can expect none: neither the store nor a leader
   /// has answered for a while.
@@ -86,6 +95,7 @@
   HeartbeatMessage MakeHeartbeat() const;
   void OnAnswer(const HeartbeatAnswer& answer, TimePoint sent);
   void RequestState();
+  void RequestServers(std::uint64_t epoch);
   void OnState(const SharedState& state);
 
   void Revoke(const std::string& member, const RevocationMessage& message,
@@ -138,6 +148,10 @@
   std::int64_t answer_stamp = 0;   ///< Stamp of the last answer.
   TimePoint answer_received;
   std::uint64_t configuration_version = 0;
+  std::uint64_t own_servers_version = 1;  ///< Of the records of this process; grows.
+  std::uint64_t servers_epoch = 0;        ///< Leader of `servers_version`.
+  std::uint64_t servers_version = 0;      ///< Version of the leader's records that are in use.
+  bool servers_under_way = false;
   std::string last_reason;
 };
 
--- a/src/relay_daemon/fleet_messages.cc
+++ b/src/relay_daemon/fleet_messages.cc
@@ -173,8 +173,10 @@
 }
 
 std::string ToJson(const HeartbeatAnswer& answer) {
-  Json json = {
-      {"epoch", answer.epoch}, {"stamp", answer.stamp}, {"configuration", answer.configuration}};
+  Json json = {{"epoch", answer.epoch},
+               {"stamp", answer.stamp},
+               {"configuration", answer.configuration},
+               {"servers_version", answer.servers_version}};
   for (const auto& [name, record] : answer.primaries) {
     json["primaries"][name] = PrimaryJson(record);
   }
@@ -193,6 +195,7 @@
     answer.epoch = json.at("epoch").get<std::uint64_t>();
     answer.stamp = json.at("stamp").get<std::int64_t>();
     answer.configuration = json.at("configuration").get<std::uint64_t>();
+    answer.servers_version = json.at("servers_version").get<std::uint64_t>();
     if (json.contains("primaries")) {
       for (const auto& [name, record] : json.at("primaries").items()) {
         answer.primaries.emplace(name, DecodePrimary(record));
@@ -260,6 +263,7 @@
   Json json = {{"epoch", state.epoch},
                {"configuration", state.configuration},
                {"configuration_text", state.configuration_text},
+               {"servers_version", state.servers_version},
                {"servers", Json::object()}};
   if (state.leader) {
     json["leader"] = MemberJson(*state.leader);
@@ -276,6 +280,7 @@
     state.epoch = json.at("epoch").get<std::uint64_t>();
     state.configuration = json.at("configuration").get<std::uint64_t>();
     state.configuration_text = json.at("configuration_text").get<std::string>();
+    state.servers_version = json.at("servers_version").get<std::uint64_t>();
     if (json.contains("leader")) {
       state.leader = DecodeMember(json.at("leader"));
     }
--- a/src/relay_daemon/fleet_messages.h
+++ b/src/relay_daemon/fleet_messages.h
@@ -64,6 +64,9 @@
   std::uint64_t epoch = 0;
   std::int64_t stamp = 0;  ///< Leader's clock; only the leader interprets it.
   std::uint64_t configuration = 0;
+  /// Grows with each change of the leader's records of backend servers; 0: it cannot vouch for
+  /// them.
+  std::uint64_t servers_version = 0;
   std::map<std::string, PrimaryRecord> primaries;
   std::map<std::string, PositionMessage> positions;
   std::map<std::string, int> connections;
@@ -104,7 +107,8 @@
   std::optional<MemberRecord> leader;
   std::uint64_t epoch = 0;  ///< Of `leader`.
   std::uint64_t configuration = 0;
-  std::string configuration_text;  ///< As the store holds it; empty if it was not asked for.
+  std::string configuration_text;     ///< As the store holds it; empty if it was not asked for.
+  std::uint64_t servers_version = 0;  ///< As in HeartbeatAnswer.
   std::map<std::string, BackendServerRecord> servers;
 };
 
--- a/src/relay_daemon/fleet_messages_test.cc
+++ b/src/relay_daemon/fleet_messages_test.cc
@@ -44,6 +44,7 @@
   answer.epoch = 7;
   answer.stamp = 5;
   answer.configuration = 3;
+  answer.servers_version = 12;
   answer.primaries["orders"] = PrimaryRecord{"s1", 4, true};
   answer.positions["orders"] = PositionMessage{4, LogPosition{2, 8}, milliseconds(20)};
   answer.connections["s1"] = 6;
@@ -52,6 +53,7 @@
   EXPECT_EQ(parsed->primaries, answer.primaries);
   EXPECT_EQ(parsed->positions.at("orders").age, Duration(milliseconds(20)));
   EXPECT_EQ(parsed->connections, answer.connections);
+  EXPECT_EQ(parsed->servers_version, 12u);
 
   SharedState state;
   state.leader = MemberRecord{"m1", "a", "dc", Endpoint{"10.0.0.1", 80}};
@@ -65,9 +67,11 @@
   server.state = BackendServerState::kDraining;
   server.started_at_ms = 1765000000000;
   state.servers["s1"] = server;
+  state.servers_version = 12;
   const auto shared = ParseSharedState(ToJson(state));
   ASSERT_TRUE(shared);
   EXPECT_EQ(shared->servers, state.servers);
+  EXPECT_EQ(shared->servers_version, 12u);
   EXPECT_EQ(shared->leader->endpoint, (Endpoint{"10.0.0.1", 80}));
   EXPECT_EQ(shared->configuration_text, state.configuration_text);
 }
--- a/src/relay_daemon/relay_daemon.cc
+++ b/src/relay_daemon/relay_daemon.cc
@@ -76,12 +76,11 @@
         member(this->platform, this->MakeMemberRecord(), this->settings.seeds,
                this->settings.fleet_key, this->MakeMemberHooks(), this->relay, this->grants,
                this->servers, this->loop, this->clock, this->random, this->logger, this->metrics),
-        configuration_mirror(this->platform.store,
-                             StoreMirrorOptions{this->platform.configuration_key},
+        configuration_mirror(this->platform.store, this->MakeConfigurationOptions(),
                              this->MakeConfigurationHooks(), this->clock, this->loop, this->random),
         servers_mirror(this->platform.store,
                        StoreMirrorOptions{this->platform.servers_prefix, std::chrono::seconds(2),
-                                          kServersWatchInterval},
+                                          kServersWatchInterval, std::nullopt},
                        this->MakeServersHooks(), this->clock, this->loop, this->random),
         ready_server(this->loop, HttpServerLimits{}, this->MakeReadyHooks()),
         metrics_server(this->loop, HttpServerLimits{}, this->MakeMetricsHooks()),
@@ -96,6 +95,12 @@
   }
 
   FleetMemberHooks MakeMemberHooks();
+  StoreMirrorOptions MakeConfigurationOptions() const {
+    StoreMirrorOptions options;
+    options.prefix = this->platform.configuration_key;
+    options.relaxed_watch_timeout = FleetMember::kRelaxedWatchTimeout;
+    return options;
+  }
   StoreMirrorHooks MakeConfigurationHooks();
   StoreMirrorHooks MakeServersHooks();
   HttpServerHooks MakeReadyHooks();
@@ -165,6 +170,7 @@
 
 StoreMirrorHooks RelayDaemon::State::MakeConfigurationHooks() {
   StoreMirrorHooks hooks;
+  hooks.relaxed = [this] { return this->member.HearsLeader(); };
   hooks.changed = [this](const StoreEvent& event) {
     if (event.item.key == this->platform.configuration_key && !event.removed) {
       this->ApplyConfiguration(event.item.value, "store");
@@ -180,7 +186,18 @@
 
 StoreMirrorHooks RelayDaemon::State::MakeServersHooks() {
   StoreMirrorHooks hooks;
+  hooks.relaxed = [this] { return this->member.HasServersOfLeader(); };
+  hooks.listed = [this](const std::map<std::string, KeyValue>& items) {
+    // The leader may have told of servers that left before this process read their records.
+    const auto records = this->servers.Records();
+    for (const auto& [id, record] : records) {
+      if (items.count(this->platform.servers_prefix + id) == 0) {
+        this->servers.Remove(id);
+      }
+    }
+  };
   hooks.changed = [this](const StoreEvent& event) {
+    this->member.AskForServers();
     const std::string id = event.item.key.substr(this->platform.servers_prefix.size());
     if (event.removed) {
       this->servers.Remove(id);
