Avoid servers that fail their statements, and hand over such primaries

Change: each server has a moving share of failures; a read that failed is repeated elsewhere, twice at most, and failures make a server look slower. Members report servers that fail more than 15% as they report silent ones, so the leader hands such a primary over if a quarter of the members do.

--- a/src/include/sycamoredrum/primary_authority.h
+++ b/src/include/sycamoredrum/primary_authority.h
@@ -44,7 +44,7 @@
   std::string member;
   std::uint64_t epoch = 0;  ///< Latest leader that the member obeys.
   std::map<std::string, DatabaseReport> databases;
-  std::set<std::string> unreachable;  ///< Backend servers that do not answer the member.
+  std::set<std::string> unreachable;  ///< Backend servers that do not answer the member, or fail.
   /// Mean number of statements that run or wait, by backend server.
   std::map<std::string, double> demand;
 };
--- a/src/include/sycamoredrum/session_relay.h
+++ b/src/include/sycamoredrum/session_relay.h
@@ -82,6 +82,11 @@
   static constexpr Duration kPositionWait = std::chrono::milliseconds(250);
   /// Attempts of one statement, the first one included.
   static constexpr int kMaxAttempts = 6;
+  /// A server that fails more of its statements is reported as one that should not lead. Two
+  /// failures among ten answers exceed it, one does not.
+  static constexpr double kMaxFailureShare = 0.15;
+  /// Repetitions of a read that failed at a server; the failure may be the server's or the read's.
+  static constexpr int kMaxFailedReads = 2;
   /// Part of the latency objective that a statement may wait for a connection.
   static constexpr double kMaxWaitShare = 0.5;
   /// Statements that one caller may send ahead.
@@ -120,7 +125,8 @@
 
   /// What this process knows of the databases, in its own clock.
   std::map<std::string, DatabaseReport> Report() const;
-  std::set<std::string> UnreachableServers() const;
+  /// Servers that have not answered this process for long, or that fail its statements.
+  std::set<std::string> UnusableServers() const;
   /// Mean number of statements that run or wait at each backend server.
   std::map<std::string, double> Demand() const;
 
--- a/src/leader/primary_watch.cc
+++ b/src/leader/primary_watch.cc
@@ -34,7 +34,7 @@
   } else if (draining || this->ShouldHandOver(database)) {
     this->ConsiderHandOver(
         name, database,
-        draining ? "the primary is draining" : "some members cannot reach the primary");
+        draining ? "the primary is draining" : "some members cannot use the primary");
   }
 }
 
--- a/src/relay/caller_session.h
+++ b/src/relay/caller_session.h
@@ -49,7 +49,8 @@
     TimePoint arrived;
     TimePoint deadline;  ///< The statement's own time limit.
     int tries = 0;
-    std::string last_problem;  ///< Why the last try ended without an answer.
+    int failures = 0;             ///< Servers that ran it and failed.
+    std::string last_problem;     ///< Why the last try ended without an answer.
     std::set<std::string> tried;  ///< Servers that failed it.
     bool needs_primary = false;
     bool waiting = false;  ///< No step is under way; Continue may start one.
@@ -92,6 +93,7 @@
   void OnConnectionLost();
   void OnRefusedByServer(const StatementError& error);
   void OnAnswer(const StatementResult& result);
+  bool RepeatFailedRead(const StatementResult& answer);
   void OnDeadline();
 
   void RetryLater(Duration delay, const std::string& reason);
--- a/src/relay/caller_session_result.cc
+++ b/src/relay/caller_session_result.cc
@@ -98,7 +98,31 @@
       delay, absl::StrCat(std::string(ToString(error.code)), " from ", this->attempt->server));
 }
 
+// A read leaves nothing behind, so another server may answer it.
+bool RelayCallerSession::RepeatFailedRead(const StatementResult& answer) {
+  const bool failed = answer.error && answer.error->code == StatementErrorCode::kFailed;
+  if (RelayServer* server = this->relay.FindServer(this->held->server)) {
+    SessionRelay::Impl::CountFailure(*server, failed);
+  }
+  const bool is_read = !this->Writes(this->attempt->statement) &&
+                       this->attempt->statement.kind != StatementKind::kCommit;
+  if (!failed || !is_read || this->transaction != TransactionState::kNone ||
+      ++this->attempt->failures > SessionRelay::kMaxFailedReads) {
+    return false;
+  }
+  this->attempt->tried.insert(this->held->server);
+  this->attempt->sent = false;
+  this->Release(answer.state == TransactionState::kNone ? ConnectionState::kClean
+                                                        : ConnectionState::kBroken);
+  this->RetryLater(Duration::zero(),
+                   absl::StrCat(answer.error->message, " at ", this->attempt->server));
+  return true;
+}
+
 void RelayCallerSession::OnAnswer(const StatementResult& answer) {
+  if (this->RepeatFailedRead(answer)) {
+    return;
+  }
   StatementResult result = answer;
   const bool committing = this->attempt->statement.kind == StatementKind::kCommit;
   const bool in_transaction = this->transaction == TransactionState::kOpen;
--- a/src/relay/relay_state.h
+++ b/src/relay/relay_state.h
@@ -21,6 +21,7 @@
   std::unique_ptr<ConnectionPool> pool;
   std::map<ConnectionId, std::unique_ptr<BackendSession>> sessions;
   Duration response_time{};
+  double failure_share = 0;     ///< Moving share of the statements that failed.
   std::size_t outstanding = 0;  ///< Statements that were sent and not answered.
   TimePoint answered_at;        ///< When it last answered a statement or opened a connection.
   TimePoint waiting_since;      ///< Start of the present silence; only while outstanding > 0.
@@ -59,6 +60,8 @@
                                          const std::set<std::string>& tried);
   void MarkFailing(RelayServer& server);
   void MarkAnswered(RelayServer& server, TimePoint sent_at);
+  /// Adds an answer to the share of failures.
+  static void CountFailure(RelayServer& server, bool failed);
   bool Silent(const RelayServer& server, Duration limit) const;
   void Observe(const std::string& database, std::uint64_t generation,
                const PositionObservation& observation);
--- a/src/relay/session_relay.cc
+++ b/src/relay/session_relay.cc
@@ -18,6 +18,8 @@
 constexpr Duration kFarResponseTime = std::chrono::milliseconds(60);
 // Weight of a new sample in the moving average.
 constexpr int kResponseTimeSmoothing = 6;
+// Weight of a new answer in the share of failures: one failure counts for about ten answers.
+constexpr double kFailureSmoothing = 0.1;
 // Weight of a new sample in the average of the demand; with a sample each tick, it covers about
 // half a second.
 constexpr double kDemandSmoothing = 0.1;
@@ -176,6 +178,7 @@
     PlacementCandidate candidate;
     candidate.server = id;
     candidate.response_time = server->response_time;
+    candidate.failure_share = server->failure_share;
     candidate.outstanding = server->pool->Leased() + server->pool->Waiting();
     candidate.primary = grant && grant->server == id;
     candidate.usable = server->record.state == BackendServerState::kReady && tried.count(id) == 0 &&
@@ -209,6 +212,10 @@
   server.response_time += ((now - sent_at) - server.response_time) / kResponseTimeSmoothing;
 }
 
+void SessionRelay::Impl::CountFailure(RelayServer& server, bool failed) {
+  server.failure_share += ((failed ? 1.0 : 0.0) - server.failure_share) * kFailureSmoothing;
+}
+
 bool SessionRelay::Impl::Silent(const RelayServer& server, Duration limit) const {
   return server.outstanding > 0 && this->clock.Now() - server.waiting_since > limit;
 }
@@ -409,11 +416,13 @@
   return reports;
 }
 
-std::set<std::string> SessionRelay::UnreachableServers() const {
+std::set<std::string> SessionRelay::UnusableServers() const {
   std::set<std::string> result;
   const TimePoint now = this->impl->clock.Now();
   for (const auto& [id, server] : this->impl->servers) {
-    if (server->failing_since && now - *server->failing_since > PrimaryAuthority::kHandOverAfter) {
+    const bool silent =
+        server->failing_since && now - *server->failing_since > PrimaryAuthority::kHandOverAfter;
+    if (silent || server->failure_share > kMaxFailureShare) {
       result.insert(id);
     }
   }
--- a/src/relay/session_relay_load_test.cc
+++ b/src/relay/session_relay_load_test.cc
@@ -107,6 +107,69 @@
   EXPECT_TRUE(later.LastSucceeded());
 }
 
+// Load pattern: a replica answers health checks, and fails a third of its statements. Callers see
+// no failed read, and the server gets only a few of them.
+TEST_F(SessionRelayTest, ReadsLeaveAServerThatFails) {
+  TestCaller& reader = this->Open("stock");
+  this->Do(reader, Make(StatementKind::kRead, "warm"));
+  // All three are equally near, so that only the failures tell them apart.
+  auto records = this->database.Records();
+  this->relay->SetServers({});
+  for (auto& [id, record] : records) {
+    record.data_centre = "elsewhere";
+  }
+  this->relay->SetServers(records);
+  this->database.At(1).fail_one_in = 3;
+  constexpr int kReads = 600;
+  int failed = 0;
+  for (int i = 0; i < kReads; ++i) {
+    failed += this->Do(reader, Make(StatementKind::kRead, "r" + std::to_string(i))).error ? 1 : 0;
+  }
+  EXPECT_EQ(failed, 0);
+  EXPECT_LE(this->database.At(1).executed, kReads / 10) << "a third of the reads without the rule";
+}
+
+// Load pattern: the primary fails a third of its statements while it answers health checks. Writes
+// have no other place to go, so the leader must hear of it.
+TEST_F(SessionRelayTest, AFailingPrimaryIsReported) {
+  TestCaller& writer = this->Open("place");
+  for (int i = 0; i < 20; ++i) {
+    this->Do(writer, Make(StatementKind::kWrite, "w" + std::to_string(i)));
+  }
+  EXPECT_TRUE(this->relay->UnusableServers().empty());
+  this->database.At(0).fail_one_in = 3;
+  bool reported = false;
+  for (int i = 0; i < 30; ++i) {
+    this->Do(writer, Make(StatementKind::kWrite, "f" + std::to_string(i)));
+    reported = reported || this->relay->UnusableServers().count(this->database.Id(0)) != 0;
+  }
+  EXPECT_TRUE(reported);
+  this->database.At(0).fail_one_in = 0;
+  for (int i = 0; i < 20; ++i) {
+    this->Do(writer, Make(StatementKind::kWrite, "g" + std::to_string(i)));
+  }
+  EXPECT_TRUE(this->relay->UnusableServers().empty());
+}
+
+// Guards against repeating a write that ran, and against repeating a bad read for ever.
+TEST_F(SessionRelayTest, OnlyReadsAreRepeatedAfterAFailure) {
+  for (int i = 0; i < 3; ++i) {
+    this->database.At(i).fail_one_in = 1;
+  }
+  TestCaller& writer = this->Open("place");
+  EXPECT_TRUE(this->Do(writer, Make(StatementKind::kWrite, "w")).error);
+  EXPECT_EQ(writer.LastError(), StatementErrorCode::kFailed);
+  EXPECT_EQ(this->database.At(0).executed, 1);
+  TestCaller& reader = this->Open("stock");
+  EXPECT_TRUE(this->Do(reader, Make(StatementKind::kRead, "r")).error);
+  EXPECT_EQ(reader.LastError(), StatementErrorCode::kFailed);
+  int executed = 0;
+  for (int i = 0; i < 3; ++i) {
+    executed += this->database.At(i).executed;
+  }
+  EXPECT_EQ(executed, 1 + 1 + SessionRelay::kMaxFailedReads);
+}
+
 // Load pattern: a server's queue is full for a moment. Reads go to another one at once.
 TEST_F(SessionRelayTest, ABusyServerIsNotAskedTwiceForOneRead) {
   TestCaller& caller = this->Open("stock");
--- a/src/relay/simulated_database_test.h
+++ b/src/relay/simulated_database_test.h
@@ -40,7 +40,9 @@
     bool down = false;                     ///< Nothing listens.
     bool isolated = false;                 ///< Receives no commits.
     int busy_answers = 0;                  ///< Statements that are refused as busy.
-    int lost_answers = 0;                  ///< Statements that run and whose connection then ends.
+    int fail_one_in = 0;                   ///< One in so many statements runs and fails; 0: none.
+    int executed = 0;
+    int lost_answers = 0;  ///< Statements that run and whose connection then ends.
     std::size_t connection_cap = 100;
     std::size_t connections = 0;
     Duration lag = std::chrono::milliseconds(8);
@@ -259,6 +261,9 @@
         result.state = this->State();
         return result;
       }
+      if (target.fail_one_in > 0 && ++target.executed % target.fail_one_in == 0) {
+        return refuse(StatementErrorCode::kFailed);
+      }
       bool write = statement.kind == StatementKind::kWrite;
       if (statement.kind == StatementKind::kExecute) {
         const auto found = this->prepared.find(statement.name);
--- a/src/relay_daemon/fleet_member.cc
+++ b/src/relay_daemon/fleet_member.cc
@@ -95,11 +95,16 @@
     respond(PeerReply{});
   };
   handlers["servers"] = [this](const PeerRequest&, const PeerRespond& respond) {
-    SharedState state;
-    state.epoch = this->leader_part.Epoch();
-    state.servers_version = this->hooks.needs_servers() ? 0 : this->own_servers_version;
-    state.servers = this->servers.Records();
-    respond(PeerReply{ToJson(state), "", ""});
+    const std::uint64_t epoch = this->leader_part.Epoch();
+    const std::uint64_t version = this->hooks.needs_servers() ? 0 : this->own_servers_version;
+    if (this->servers_reply.first != std::pair(epoch, version)) {
+      SharedState state;
+      state.epoch = epoch;
+      state.servers_version = version;
+      state.servers = this->servers.Records();
+      this->servers_reply = {{epoch, version}, ToJson(state)};
+    }
+    respond(PeerReply{this->servers_reply.second, "", ""});
   };
   handlers["state"] = [this](const PeerRequest&, const PeerRespond& respond) {
     SharedState state = this->hooks.shared_state();
@@ -227,7 +232,7 @@
       database.failing_for = now - *report.failing_since;
     }
   }
-  message.unreachable = this->relay.UnreachableServers();
+  message.unreachable = this->relay.UnusableServers();
   message.demand = this->relay.Demand();
   return message;
 }
@@ -289,7 +294,7 @@
   const bool current =
       this->servers_epoch == answer.epoch && this->servers_version == answer.servers_version;
   if (answer.servers_version != 0 && !current && this->leader &&
-      this->leader->member != this->self.member) {
+      this->leader->member != this->self.member && now - this->started > kOwnRecordsAfterStart) {
     this->RequestServers(answer.epoch);
   }
 }
--- a/src/relay_daemon/fleet_member.h
+++ b/src/relay_daemon/fleet_member.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "fleet_leader.h"
@@ -44,6 +45,9 @@
   /// How long the store may hold a watch of a member that hears the leader, which tells it of new
   /// configurations as well. Below the 20 s for which the store keeps its history.
   static constexpr Duration kRelaxedWatchTimeout = std::chrono::seconds(10);
+  /// A process that has just started reads the records of the backend servers itself for this time.
+  /// After a common restart the leader has more urgent work than to send them to everyone.
+  static constexpr Duration kOwnRecordsAfterStart = std::chrono::seconds(3);
   /// A leader tells members that it does not hear of its leadership in these intervals.
   static constexpr Duration kNoticeInterval = std::chrono::milliseconds(500);
   /// Least time between heartbeats that are sent because something happened.
@@ -152,6 +156,8 @@
   std::uint64_t servers_epoch = 0;        ///< Leader of `servers_version`.
   std::uint64_t servers_version = 0;      ///< Version of the leader's records that are in use.
   bool servers_under_way = false;
+  /// Last reply to a request for the servers' records, by epoch and version; all members ask.
+  std::pair<std::pair<std::uint64_t, std::uint64_t>, std::string> servers_reply;
   std::string last_reason;
 };
 
