Leave the leader's key to whoever was elected meanwhile

Cause: a candidate checked the key, asked for a lease and then claimed the key at the revision that it knew by then. The successor had to wait for all grants of its predecessor, so one database stood still until 21 s. Ruled out: early removal of the key by the store (no watch saw a removal), a lapse of the lease (the leader was renewing it). Change: the key is looked at again when the lease has been granted. Test: ALateCandidateLeavesTheKeyToTheLeader fails before the change.

--- a/src/include/sycamoredrum/leadership.h
+++ b/src/include/sycamoredrum/leadership.h
@@ -64,6 +64,7 @@
  private:
   enum class Phase { kFollowing, kCandidate, kLeading };
 
+  bool Vacant() const;
   void Consider();
   void Campaign();
   void Claim(std::uint64_t new_lease, TimePoint sent);
--- a/src/leader/fake_store_test.h
+++ b/src/leader/fake_store_test.h
@@ -19,10 +19,11 @@
  public:
   explicit FakeStore(ManualClock& clock) : clock(clock) {}
 
-  bool down = false;     ///< Calls are answered as unavailable.
-  std::set<int> cut;     ///< Clients whose calls get no answer.
-  int lost_answers = 0;  ///< Writes that take effect and whose answer is lost.
-  int late_writes = 0;   ///< Writes without an answer that take effect after `late_by`.
+  bool down = false;                     ///< Calls are answered as unavailable.
+  std::set<int> cut;                     ///< Clients whose calls get no answer.
+  std::map<int, Duration> lease_delays;  ///< Extra delay of granting a lease, by client.
+  int lost_answers = 0;                  ///< Writes that take effect and whose answer is lost.
+  int late_writes = 0;  ///< Writes without an answer that take effect after `late_by`.
   Duration late_by = std::chrono::seconds(2);
   Duration delay = std::chrono::milliseconds(4);
 
@@ -68,14 +69,18 @@
     };
     store.grant_lease = [this, client](Duration time_to_live,
                                        const CoordinationStore::LeaseCallback& callback) {
-      this->Answer(client, [this, time_to_live, callback](bool served) {
-        if (served) {
-          const std::uint64_t lease = this->next_lease++;
-          this->leases[lease] = Lease{time_to_live, this->clock.Now() + time_to_live};
-          callback(PlatformStatus::kOk, lease, time_to_live);
-        } else {
-          callback(PlatformStatus::kUnavailable, 0, Duration::zero());
-        }
+      const auto extra = this->lease_delays.find(client);
+      const Duration wait = extra == this->lease_delays.end() ? Duration::zero() : extra->second;
+      this->clock.RunAfter(wait, [this, client, time_to_live, callback] {
+        this->Answer(client, [this, time_to_live, callback](bool served) {
+          if (served) {
+            const std::uint64_t lease = this->next_lease++;
+            this->leases[lease] = Lease{time_to_live, this->clock.Now() + time_to_live};
+            callback(PlatformStatus::kOk, lease, time_to_live);
+          } else {
+            callback(PlatformStatus::kUnavailable, 0, Duration::zero());
+          }
+        });
       });
     };
     store.renew_lease = [this, client](std::uint64_t lease,
--- a/src/leader/leadership.cc
+++ b/src/leader/leadership.cc
@@ -47,13 +47,14 @@
   this->Consider();
 }
 
+// True unless another process holds the key.
+bool Leadership::Vacant() const {
+  return !this->key || this->key->value == this->options.value ||
+         this->hooks.is_predecessor(this->key->value);
+}
+
 void Leadership::Consider() {
-  if (!this->started || this->phase != Phase::kFollowing) {
-    return;
-  }
-  const bool vacant = !this->key || this->key->value == this->options.value ||
-                      this->hooks.is_predecessor(this->key->value);
-  if (!vacant) {
+  if (!this->started || this->phase != Phase::kFollowing || !this->Vacant()) {
     return;
   }
   // Nobody else takes the key of an earlier start of this process.
@@ -73,9 +74,7 @@
 }
 
 void Leadership::Campaign() {
-  const bool taken = this->key && this->key->value != this->options.value &&
-                     !this->hooks.is_predecessor(this->key->value);
-  if (taken) {
+  if (!this->Vacant()) {
     this->phase = Phase::kFollowing;
     return;
   }
@@ -95,6 +94,12 @@
 }
 
 void Leadership::Claim(std::uint64_t new_lease, TimePoint sent) {
+  if (!this->Vacant()) {
+    // Another process was elected while this one waited for the lease.
+    this->store.end_lease(new_lease, [](PlatformStatus) {});
+    this->phase = Phase::kFollowing;
+    return;
+  }
   this->lease = new_lease;
   const std::uint64_t expected = this->key ? this->key->revision : 0;
   this->store.write(ConditionalWrite{this->options.key, expected, this->options.value, new_lease},
--- a/src/leader/leadership_test.cc
+++ b/src/leader/leadership_test.cc
@@ -93,6 +93,18 @@
   EXPECT_EQ(leaders, 1);
 }
 
+// Guards against a candidate that was cut off while it asked for a lease: its claim came seconds
+// later and took the key from the leader that had been elected meanwhile. The successor of a leader
+// must wait for all grants of its predecessor, so a replacement under way stood still for 7 s.
+TEST_F(LeadershipTest, ALateCandidateLeavesTheKeyToTheLeader) {
+  this->store.lease_delays[0] = seconds(2);
+  this->Add(2);
+  this->clock.Advance(seconds(20));
+  EXPECT_EQ(this->Leader(), 1);
+  EXPECT_TRUE(this->candidates[1]->losses.empty());
+  EXPECT_EQ(this->candidates[1]->epochs.size(), 1u);
+}
+
 TEST_F(LeadershipTest, ACutLeaderStopsBeforeItsLeaseEndsAndAnotherFollows) {
   this->Add(3);
   this->clock.Advance(seconds(3));
