--- a/src/relay_daemon/fleet_member.cc
+++ b/src/relay_daemon/fleet_member.cc
@@ -95,16 +95,7 @@
     respond(PeerReply{});
   };
   handlers["servers"] = [this](const PeerRequest&, const PeerRespond& respond) {
-    const std::uint64_t epoch = this->leader_part.Epoch();
-    const std::uint64_t version = this->hooks.needs_servers() ? 0 : this->own_servers_version;
-    if (this->servers_reply.first != std::pair(epoch, version)) {
-      SharedState state;
-      state.epoch = epoch;
-      state.servers_version = version;
-      state.servers = this->servers.Records();
-      this->servers_reply = {{epoch, version}, ToJson(state)};
-    }
-    respond(PeerReply{this->servers_reply.second, "", ""});
+    respond(PeerReply{this->MakeServersReply(), "", ""});
   };
   handlers["state"] = [this](const PeerRequest&, const PeerRespond& respond) {
     SharedState state = this->hooks.shared_state();
@@ -291,6 +282,10 @@
   if (answer.configuration > this->configuration_version) {
     this->RequestState();
   }
+  if (answer.servers_version == 0) {
+    // The leader cannot read the records itself, so this process does.
+    this->servers_version = 0;
+  }
   const bool current =
       this->servers_epoch == answer.epoch && this->servers_version == answer.servers_version;
   if (answer.servers_version != 0 && !current && this->leader &&
@@ -299,74 +294,6 @@
   }
 }
 
-bool FleetMember::HearsLeader() const {
-  return this->leader && this->leader->member != this->self.member &&
-         this->clock.Now() - this->last_answer <= kLeaderSilence;
-}
-
-bool FleetMember::HasServersOfLeader() const {
-  return this->HearsLeader() && this->servers_version != 0 &&
-         this->servers_epoch == this->answer_epoch;
-}
-
-void FleetMember::RequestServers(std::uint64_t epoch) {
-  if (std::exchange(this->servers_under_way, true)) {
-    return;
-  }
-  this->LinkTo(this->leader->endpoint)
-      .Call("servers", "null", kRequestTimeout, [this, epoch](const PeerAnswer& reply) {
-        this->servers_under_way = false;
-        const std::optional<SharedState> state =
-            reply.Ok() ? ParseSharedState(reply.body) : std::nullopt;
-        if (state && state->epoch == epoch && state->servers_version != 0) {
-          this->servers_epoch = epoch;
-          this->servers_version = state->servers_version;
-          this->servers.Replace(state->servers);
-        }
-      });
-}
-
-// Asks the leader, or any known process while the leader is not known.
-void FleetMember::RequestState() {
-  if (this->state_under_way) {
-    return;
-  }
-  const bool leader_answers = this->leader && this->leader->member != this->self.member &&
-                              this->clock.Now() - this->last_answer <= kLeaderSilence;
-  std::vector<Endpoint> others = this->seeds;
-  for (const auto& [name, record] : this->members) {
-    others.push_back(record.endpoint);
-  }
-  others.erase(std::remove(others.begin(), others.end(), this->self.endpoint), others.end());
-  if (others.empty() && !leader_answers) {
-    return;
-  }
-  const Endpoint target =
-      leader_answers ? this->leader->endpoint : others[this->next_seed++ % others.size()];
-  this->last_state_request = this->clock.Now();
-  this->state_under_way = true;
-  this->LinkTo(target).Call("state", "null", kRequestTimeout, [this](const PeerAnswer& reply) {
-    this->state_under_way = false;
-    const std::optional<SharedState> state =
-        reply.Ok() ? ParseSharedState(reply.body) : std::nullopt;
-    if (state) {
-      this->OnState(*state);
-    }
-  });
-}
-
-void FleetMember::OnState(const SharedState& state) {
-  if (state.configuration > this->configuration_version && !state.configuration_text.empty()) {
-    this->hooks.configuration(state.configuration_text);
-  }
-  if (this->hooks.needs_servers() && !state.servers.empty()) {
-    this->servers.Replace(state.servers);
-  }
-  if (state.leader) {
-    this->SetLeader(*state.leader, state.epoch);
-  }
-}
-
 void FleetMember::Revoke(const std::string& member, const RevocationMessage& message,
                          std::function<void(const std::optional<RevocationAnswer>&)> done) {
   if (member == this->self.member) {
--- a/src/relay_daemon/fleet_member.h
+++ b/src/relay_daemon/fleet_member.h
@@ -6,7 +6,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "fleet_leader.h"
@@ -85,7 +84,15 @@
   const std::string& LastReason() const { return this->last_reason; }
 
  private:
+  /// Records of the backend servers as they are sent to members.
+  struct ServersReply {
+    std::uint64_t epoch = 0;
+    std::uint64_t version = 0;
+    std::string text;
+  };
+
   std::map<std::string, PeerHandler> MakeHandlers();
+  const std::string& MakeServersReply();
   StoreMirrorHooks MakeMirrorHooks();
   void Register();
   void WriteRegistration(std::uint64_t revision);
@@ -156,8 +163,7 @@
   std::uint64_t servers_epoch = 0;        ///< Leader of `servers_version`.
   std::uint64_t servers_version = 0;      ///< Version of the leader's records that are in use.
   bool servers_under_way = false;
-  /// Last reply to a request for the servers' records, by epoch and version; all members ask.
-  std::pair<std::pair<std::uint64_t, std::uint64_t>, std::string> servers_reply;
+  ServersReply servers_reply;  ///< The last one; all members ask for the same.
   std::string last_reason;
 };
 
