Ignore a log position that is smaller than one of its generation

A primary that started again under its id without its log would report a small position, and reads would then be placed on replicas by it. Statements were guarded by the position that they carry; the new connection carries none. Change: within a generation a log only grows, so a smaller position is ignored. Test: APositionOfALostLogIsNoProof fails without the change.

--- a/src/include/sycamoredrum/freshness_window.h
+++ b/src/include/sycamoredrum/freshness_window.h
@@ -25,7 +25,8 @@
   static constexpr Duration kSpacing = std::chrono::milliseconds(50);
 
   /// Adds an observation. A newer generation (a promotion) discards all earlier observations,
-  /// because the promotion may have removed their positions from the log; an older one is ignored.
+  /// because the promotion may have removed their positions from the log; an older one is ignored,
+  /// and so is a position below an earlier one of its generation.
   void Observe(std::uint64_t generation, const PositionObservation& observation);
 
   /// Discards the observations of earlier generations.
--- a/src/relay/freshness_window.cc
+++ b/src/relay/freshness_window.cc
@@ -21,6 +21,11 @@
   if (!list.empty() && observation.as_of <= list.back().as_of) {
     return;
   }
+  // The log of one generation only grows. A smaller position comes from a server that started again
+  // without its log, and shows nothing; or from an answer that was overtaken, which is no loss.
+  if (!list.empty() && observation.position < list.back().position) {
+    return;
+  }
   // The last entry moves forward until it is kSpacing away from the one before it.
   if (list.size() >= 2 && list.back().as_of - list[list.size() - 2].as_of < kSpacing) {
     list.back() = observation;
--- a/src/relay/session_relay_test.cc
+++ b/src/relay/session_relay_test.cc
@@ -9,6 +9,26 @@
 namespace sycamoredrum {
 namespace {
 
+// Guards against trust in a primary that started again without its log: a new connection brings its
+// position, which says nothing of what was acknowledged before.
+TEST_F(SessionRelayTest, APositionOfALostLogIsNoProof) {
+  TestCaller& writer = this->Open("place");
+  for (int i = 0; i < 5; ++i) {
+    this->Do(writer, Make(StatementKind::kWrite, "w" + std::to_string(i)));
+  }
+  const auto before = this->relay->NewestPosition("orders", 1);
+  ASSERT_TRUE(before);
+  this->database.At(0).log_terms = {1};
+  // The write holds the only connection, so the read needs a new one.
+  this->database.At(0).work = milliseconds(300);
+  writer.session->Handle(Make(StatementKind::kWrite, "slow"));
+  TestCaller& reader = this->Open("place");
+  reader.session->Handle(Make(StatementKind::kRead, "r"));
+  this->Advance(milliseconds(100));
+  EXPECT_EQ(this->relay->NewestPosition("orders", 1)->position, before->position);
+  EXPECT_EQ(this->relay->NewestPosition("orders", 1)->as_of, before->as_of);
+}
+
 // Guards against a route that does not exist being served by some default.
 TEST_F(SessionRelayTest, OpensOnlyConfiguredRoutes) {
   EXPECT_EQ(this->relay->Open("unknown", {}), nullptr);
