--- a/src/relay/caller_session_dispatch.cc
+++ b/src/relay/caller_session_dispatch.cc
@@ -63,10 +63,8 @@
     this->attempt->needs_primary = true;
   }
   if (this->attempt->needs_primary) {
-    if (!grant) {
-      this->WaitForPrimary();
-    } else if (this->relay.FindServer(grant->server) == nullptr) {
-      // Its record is missing or not read yet, for example after an outage of the store.
+    // The record of a granted primary can be missing, for example after an outage of the store.
+    if (!grant || this->relay.FindServer(grant->server) == nullptr) {
       this->WaitForPrimary();
     } else {
       this->Acquire(grant->server, grant);
