Test three mechanisms that no test would have missed

The position that a new connection brings, the wait for a primary whose record is missing, and the choice of scarcity by the cap: each was switched off once, and only the new test failed. One process test is renamed: it said at once where the relay refuses after a quarter of the objective. No behaviour changes.

--- a/src/relay/session_relay_load_test.cc
+++ b/src/relay/session_relay_load_test.cc
@@ -69,6 +69,44 @@
   EXPECT_LE(at_primary, kReaders / 3);
 }
 
+// Load pattern: the first statement after a restart is slow. The connection that it waits for has
+// brought the position by then.
+TEST_F(SessionRelayTest, ANewConnectionToThePrimaryBringsItsPosition) {
+  this->database.At(0).work = milliseconds(400);
+  this->Open("place").session->Handle(Make(StatementKind::kRead, "slow"));
+  const TimePoint start = this->clock.Now();
+  this->Advance(milliseconds(50));
+  const auto newest = this->relay->NewestPosition("orders", 1);
+  ASSERT_TRUE(newest);
+  EXPECT_EQ(newest->as_of, start) << "nothing is shown of the time after the opening began";
+}
+
+// Load pattern: the store has lost the primary's record in an outage, and it comes back a second
+// later. Statements that wait for it use up no attempts.
+TEST_F(SessionRelayTest, APrimaryThatIsNotListedYetIsWaitedFor) {
+  const auto records = this->database.Records();
+  this->relay->SetServers({});
+  TestCaller& writer = this->Open("place");
+  writer.session->Handle(Make(StatementKind::kWrite, "w"));
+  this->Advance(milliseconds(800));
+  EXPECT_TRUE(writer.results.empty());
+  this->relay->SetServers(records);
+  this->Advance(milliseconds(150));
+  EXPECT_TRUE(writer.LastSucceeded());
+}
+
+// Load pattern: many processes, each with a statement now and then. Closing connections early makes
+// nearly every statement open one; keeping them fills a small cap.
+TEST_F(SessionRelayTest, UnusedConnectionsAreClosedEarlyOnlyIfTheCapIsSmall) {
+  for (const std::size_t processes : {10, 11}) {  // The cap is 21; every process may open two.
+    this->relay->SetFleetSize(processes);
+    TestCaller& caller = this->Open("place");
+    this->Do(caller, Make(StatementKind::kRead, "r"));
+    this->Advance(SessionRelay::kScarceUnusedLimit * 2);
+    EXPECT_EQ(this->database.At(0).connections, processes == 10 ? 1u : 0u) << processes;
+  }
+}
+
 // Guards against reads that wait for a position that never comes: the one that asks for it may
 // have met a broken connection.
 TEST_F(SessionRelayTest, ReadsDoNotWaitForeverForAPosition) {
--- a/testsuite/relay/relay_test.cc
+++ b/testsuite/relay/relay_test.cc
@@ -191,7 +191,7 @@
   EXPECT_TRUE(this->WriteEventually(0, "a", "after"));
 }
 
-TEST_F(RelayTest, ARelayWithoutLeaderAndStoreRefusesAtOnceAndLeavesTheRotation) {
+TEST_F(RelayTest, ARelayWithoutLeaderAndStoreRefusesEarlyAndLeavesTheRotation) {
   ASSERT_TRUE(this->WriteEventually(0, "a", "before"));
   this->platform.SetStoreDown(true);
   for (const auto& relay : this->relays) {
