Test with real processes that a member takes the records from the leader

Nothing noticed when the mechanism was off: the other process tests end in the first seconds, in which every process reads for itself. The new test counts the reads of both relays while the leader makes 24, drains a primary that the member knows only through the leader, and then kills the leader. No behaviour changes.

--- a/testsuite/relay/relay_test.cc
+++ b/testsuite/relay/relay_test.cc
@@ -4,10 +4,13 @@
 #include <gtest/gtest.h>
 #include <poll.h>
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <memory>
+#include <sstream>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "../../src/net/raw_socket.h"
@@ -50,7 +53,7 @@
 class RelayProcess {
  public:
   RelayProcess(const std::string& name, const Endpoint& platform)
-      : callers(FreePort()), ready(FreePort()) {
+      : callers(FreePort()), ready(FreePort()), metrics(FreePort()) {
     const auto local = [](std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); };
     const std::vector<std::string> arguments = {"relay",
                                                 "--member-id=" + name,
@@ -58,7 +61,7 @@
                                                 "--caller-address=" + local(this->callers),
                                                 "--ready-address=" + local(this->ready),
                                                 "--peer-address=" + local(FreePort()),
-                                                "--metrics-address=" + local(FreePort()),
+                                                "--metrics-address=" + local(this->metrics),
                                                 "--store-address=" + platform.ToString(),
                                                 "--duty-address=" + platform.ToString(),
                                                 "--stop-grace=4s"};
@@ -77,14 +80,32 @@
     return socket.ReceiveUntil("\r\n").find(" 200 ") != std::string::npos;
   }
 
+  /// Reads and watches of the store that the process has made.
+  int StoreReads() const {
+    const RawSocket socket = RawSocket::ConnectTo(this->metrics);
+    socket.Send("GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    std::istringstream lines(socket.ReceiveUntil("no line has this text"));
+    double reads = 0;
+    for (std::string line; std::getline(lines, line);) {
+      const bool calls = line.rfind("sycamoredrum_platform_calls_total{", 0) == 0;
+      const bool read =
+          line.find("\"list\"") != std::string::npos || line.find("\"watch\"") != std::string::npos;
+      if (calls && read) {
+        reads += std::stod(line.substr(line.rfind(' ')));
+      }
+    }
+    return static_cast<int>(reads);
+  }
+
   const std::uint16_t callers;
   const std::uint16_t ready;
+  const std::uint16_t metrics;
   std::unique_ptr<ChildProcess> process;
 };
 
 template <typename Condition>
-bool Eventually(Condition condition) {
-  const auto end = std::chrono::steady_clock::now() + kPatience;
+bool Eventually(Condition condition, milliseconds patience = kPatience) {
+  const auto end = std::chrono::steady_clock::now() + patience;
   while (!condition()) {
     if (std::chrono::steady_clock::now() > end) {
       return false;
@@ -207,6 +228,47 @@
   }
 }
 
+// Load pattern: every member of a large fleet reads what the leader reads as well. A member that
+// hears the leader gets the records of the instances from it, and acts on them.
+TEST_F(RelayTest, AMemberThatHearsTheLeaderHardlyReadsTheStore) {
+  ASSERT_TRUE(this->WriteEventually(0, "a", "before"));
+  const auto reads = [this] {
+    return std::pair(this->relays[0]->StoreReads(), this->relays[1]->StoreReads());
+  };
+  // In its first seconds a process reads the records itself.
+  constexpr int kReadsOfTheStart = 25;
+  ASSERT_TRUE(Eventually([&] {
+    const auto [first, second] = reads();
+    return std::max(first, second) >= kReadsOfTheStart;
+  }));
+  // The leader reads its key and the records about three times a second, a member two keys every
+  // 10 s. One that read the records as well would make six reads meanwhile.
+  constexpr int kReadsOfTheLeader = 24;
+  constexpr int kMostReadsOfAMember = 4;
+  const std::pair<int, int> start = reads();
+  std::pair<int, int> made;
+  ASSERT_TRUE(Eventually(
+      [&] {
+        const auto [first, second] = reads();
+        made = std::pair(first - start.first, second - start.second);
+        return std::max(made.first, made.second) >= kReadsOfTheLeader;
+      },
+      kPatience * 2));
+  EXPECT_LE(std::min(made.first, made.second), kMostReadsOfAMember);
+  this->platform.DrainInstance(0);
+  EXPECT_TRUE(Eventually([this] { return this->platform.Primary() != 0; }));
+  EXPECT_TRUE(this->WriteEventually(0, "a", "through the first"));
+  EXPECT_TRUE(this->WriteEventually(1, "a", "through the second"));
+  // The member that is left reads the store itself again.
+  const std::size_t leader = made.first > made.second ? 0 : 1;
+  this->relays[leader]->process->Signal(SIGKILL);
+  const int other = leader == 0 ? 1 : 0;
+  EXPECT_TRUE(this->WriteEventually(other, "a", "without the leader"));
+  const int primary = this->platform.Primary();
+  this->platform.DrainInstance(primary);
+  EXPECT_TRUE(Eventually([&] { return this->platform.Primary() != primary; }));
+}
+
 TEST_F(RelayTest, ANewConfigurationIsInForceEverywhere) {
   this->platform.Configure(9, {"place=primary", "added=primary"});
   for (const int relay : {0, 1}) {
