--- a/src/include/sycamoredrum/leadership.h
+++ b/src/include/sycamoredrum/leadership.h
@@ -21,6 +21,8 @@
   Duration renew_interval = std::chrono::milliseconds(750);
   /// Candidates wait a random time up to this, so that not all of them write at once.
   Duration max_candidate_delay = std::chrono::milliseconds(150);
+  /// Candidates wait this long before that, so that others with a shorter delay go first.
+  Duration least_candidate_delay = Duration::zero();
 };
 
 struct LeadershipHooks {
@@ -55,6 +57,9 @@
   /// Epoch of this process's leadership; 0 if it does not lead.
   std::uint64_t Epoch() const { return this->Leading() ? this->epoch : 0; }
 
+  /// When the store last confirmed that this process leads.
+  TimePoint ConfirmedAt() const { return this->deadline - this->options.lease; }
+
   /// Gives the duty up and stays out of the election for `pause`.
   void Resign(const std::string& reason, Duration pause);
 
--- a/src/include/sycamoredrum/primary_authority.h
+++ b/src/include/sycamoredrum/primary_authority.h
@@ -123,6 +123,11 @@
   static constexpr Duration kProbeAfterSilence = std::chrono::milliseconds(300);
   /// One answer settles the suspicion of a member that cannot reach the primary for this time.
   static constexpr Duration kSuspicionPause = std::chrono::milliseconds(700);
+  /// A primary is asked for its position if none is known that is younger. Reads at replicas need a
+  /// position of the last 1.5 s, of which a heartbeat takes up to 0.8 s.
+  /// Load pattern: a primary whose answers take a second; the positions that they bring are too old
+  /// for reads at replicas, so that all reads go to the primary and keep it slow.
+  static constexpr Duration kPositionAge = std::chrono::milliseconds(400);
   static constexpr Duration kProbeInterval = std::chrono::milliseconds(150);
   /// A silent primary is replaced after this time, which covers a lost packet and its repetition,
   /// if it left kProbesUntilDead probes without an answer.
@@ -161,6 +166,8 @@
   /// The shares of connections are computed this often. They need servers times members steps, and
   /// a fleet of 80 sends 160 heartbeats a second.
   static constexpr Duration kSharesInterval = std::chrono::milliseconds(250);
+  /// A step takes about a microsecond; a hundred times that bounds the shares to 1% of a core.
+  static constexpr Duration kSharesIntervalPerStep = std::chrono::microseconds(100);
   /// A member without a heartbeat for this time counts as out of contact.
   static constexpr Duration kMemberSilence = std::chrono::milliseconds(1600);
 
@@ -267,7 +274,8 @@
   void Promote(const std::string& name, Database& database);
   void OnPromote(const std::string& name, Database& database, PromoteOutcome outcome);
   void Confirm(const std::string& name, Database& database);
-  void OnConfirm(const std::string& name, Database& database, const BackendProbe& probe);
+  void OnConfirm(const std::string& name, Database& database, const BackendProbe& probe,
+                 TimePoint sent);
   void CheckContact();
   const std::map<std::string, int>& ConnectionsOf(const std::string& member);
   void ComputeShares();
--- a/src/include/sycamoredrum/relay_platform.h
+++ b/src/include/sycamoredrum/relay_platform.h
@@ -28,6 +28,8 @@
   virtual bool Idle() const = 0;
   /// Closes after the unsent bytes are sent.
   virtual void Close() = 0;
+  /// Closes as soon as Idle() is true, which may be at once.
+  virtual void CloseWhenIdle() = 0;
 };
 
 /// What a platform provides for the relay, and the translation between its messages and the types
--- a/src/include/sycamoredrum/relay_settings.h
+++ b/src/include/sycamoredrum/relay_settings.h
@@ -29,6 +29,7 @@
   LogLevel log_level = LogLevel::kInfo;
   LogFormat log_format = LogFormat::kText;
   Duration stop_grace = std::chrono::seconds(6);  ///< From the stop signal to the forced end.
+  double processor_share = 1;  ///< Part of a core that this VM gives the process.
   std::size_t max_sessions =
       3500;  ///< Callers' sessions at the same time; each takes a descriptor.
 
--- a/src/include/sycamoredrum/session_relay.h
+++ b/src/include/sycamoredrum/session_relay.h
@@ -46,6 +46,13 @@
 
   /// Rolls an open transaction back and answers its next statement with kAborted.
   virtual void AbortTransaction(const std::string& reason) = 0;
+
+  /// True if a statement is in progress that has not been sent to a backend server.
+  virtual bool Waiting() const = 0;
+
+  /// Answers the statement in progress with what is known of it: it did not run, it was rolled
+  /// back, or its outcome is unknown.
+  virtual void EndStatement(const std::string& reason) = 0;
 };
 
 struct SessionRelayOptions {
@@ -72,13 +79,10 @@
   static constexpr Duration kUnreachablePause = std::chrono::milliseconds(500);
   /// Connections that a process opens to a backend server before it knows its share.
   static constexpr int kInitialShare = 2;
-  /// Unused connections are closed after this time, sooner to servers whose connections are scarce.
-  static constexpr Duration kUnusedLimit = std::chrono::seconds(10);
-  static constexpr Duration kScarceUnusedLimit = std::chrono::milliseconds(800);
   /// Connections beyond the most that were needed at once are closed after this time.
   static constexpr Duration kSurplusWindow = std::chrono::milliseconds(1000);
-  /// Longest wait of a read for the position that another one asks for. It covers a new connection
-  /// and one statement between data centres.
+  /// Longest wait of a read for a position. It covers a new connection and one statement between
+  /// data centres.
   static constexpr Duration kPositionWait = std::chrono::milliseconds(250);
   /// Attempts of one statement, the first one included.
   static constexpr int kMaxAttempts = 6;
@@ -136,6 +140,10 @@
   /// Sessions that use a connection to the primary of `database` under a grant.
   std::size_t OpenPrimaryWork(const std::string& database) const;
   void AbortTransactions(const std::string& reason);
+  /// Refuses the statements that have not been sent to a backend server, and all later ones.
+  void StopTaking(const std::string& reason);
+  /// Answers all statements in progress with what is known of them.
+  void EndStatements(const std::string& reason);
 
   /// Access for the sources of this library.
   struct Impl;
--- a/src/include/sycamoredrum/statement.h
+++ b/src/include/sycamoredrum/statement.h
@@ -18,11 +18,12 @@
   kRollback,
   kRead,
   kWrite,
-  kSet,      ///< Sets a session variable.
-  kPrepare,  ///< Prepares a statement under a name of the session.
-  kExecute,  ///< Runs a prepared statement.
-  kForget,   ///< Removes a prepared statement.
-  kReset,    ///< Clears variables and prepared statements; only sent by the relay itself.
+  kSet,       ///< Sets a session variable.
+  kPrepare,   ///< Prepares a statement under a name of the session.
+  kExecute,   ///< Runs a prepared statement.
+  kForget,    ///< Removes a prepared statement.
+  kReset,     ///< Clears variables and prepared statements; only sent by the relay itself.
+  kPosition,  ///< Asks for the log position; only sent by the relay itself.
   kInvalid,
 };
 
--- a/src/include/sycamoredrum/store_mirror.h
+++ b/src/include/sycamoredrum/store_mirror.h
@@ -37,6 +37,13 @@
   /// Optional. True while what the keys say also arrives in another way, so that fewer calls do.
   /// Load pattern: 80 processes that watch keys which change 20 times a second.
   std::function<bool()> relaxed = nullptr;
+  /// Optional. False while nobody needs the copy; the mirror then makes no calls, and reads all
+  /// keys again afterwards. Load pattern: 300 processes start within a second, and each
+  /// registration wakes the watches of all others.
+  std::function<bool()> wanted = nullptr;
+  /// Optional. Longest pause after failed calls, instead of kMaxRetryDelay.
+  /// Load pattern: the store is down, and 300 processes go on asking for it.
+  std::function<Duration()> max_retry_delay = nullptr;
 };
 
 /// Local copy of all keys with a prefix, kept up to date by list and watch. Not thread-safe.
@@ -46,13 +53,16 @@
   /// return to the store at the same moment.
   static constexpr Duration kMinRetryDelay = std::chrono::milliseconds(150);
   static constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(800);
-  /// A relaxed mirror without calls looks this often whether it still is relaxed.
+  /// A mirror that makes no calls looks this often whether that is still so.
   static constexpr Duration kRelaxedCheck = std::chrono::milliseconds(250);
 
   StoreMirror(const CoordinationStore& store, StoreMirrorOptions options, StoreMirrorHooks hooks,
               const Clock& clock, Scheduler& scheduler, RandomSource random);
 
+  /// The mirror makes calls from now on, if it is wanted.
   void Start();
+  /// Looks at once whether calls are wanted again, if the mirror makes none at present.
+  void Wake();
 
   const std::map<std::string, KeyValue>& Items() const { return this->items; }
   bool Synchronized() const { return this->synchronized; }
@@ -61,10 +71,12 @@
   TimePoint LastSuccess() const { return this->last_success; }
 
  private:
+  void Pause();
   void List();
   void OnList(PlatformStatus status, const StorePage& page);
   void Watch();
   bool Relaxed() const { return this->hooks.relaxed && this->hooks.relaxed(); }
+  bool Wanted() const { return !this->hooks.wanted || this->hooks.wanted(); }
   void OnWatch(WatchStatus status, const StorePage& page);
   void Apply(const StoreEvent& event);
   void Succeeded();
@@ -82,6 +94,8 @@
   bool synchronized = false;
   bool reachable = false;
   bool must_list = true;
+  std::uint64_t pause = 0;  ///< Number of the present pause without calls; 0: there is none.
+  std::uint64_t next_pause = 1;
   TimePoint last_success;
   TimePoint watch_started;
   Duration retry_delay = kMinRetryDelay;
--- a/src/leader/leadership.cc
+++ b/src/leader/leadership.cc
@@ -63,7 +63,9 @@
   this->phase = Phase::kCandidate;
   ++this->attempt;
   const auto bound = static_cast<std::uint64_t>(this->options.max_candidate_delay.count()) + 1;
-  const Duration spread(contested ? static_cast<std::int64_t>(this->random() % bound) : 0);
+  const Duration random_part(static_cast<std::int64_t>(this->random() % bound));
+  const Duration spread =
+      contested ? this->options.least_candidate_delay + random_part : Duration::zero();
   this->Later(std::max(wait, Duration::zero()) + spread, [this] { this->Campaign(); });
 }
 
--- a/src/leader/primary_authority.cc
+++ b/src/leader/primary_authority.cc
@@ -196,7 +196,10 @@
 }
 
 const std::map<std::string, int>& PrimaryAuthority::ConnectionsOf(const std::string& member) {
-  if (this->clock.Now() - this->shares_at >= kSharesInterval || this->shares.count(member) == 0) {
+  const Duration interval =
+      kSharesInterval + kSharesIntervalPerStep *
+                            static_cast<std::int64_t>(this->servers.size() * this->members.size());
+  if (this->clock.Now() - this->shares_at >= interval || this->shares.count(member) == 0) {
     this->ComputeShares();
   }
   return this->shares[member];
--- a/src/leader/primary_replacement.cc
+++ b/src/leader/primary_replacement.cc
@@ -354,18 +354,18 @@
     return;
   }
   database.call_under_way = true;
-  this->hooks.probe(*server, [this, name, step = database.step,
+  this->hooks.probe(*server, [this, name, step = database.step, sent = now,
                               weak = std::weak_ptr<bool>(this->alive)](const BackendProbe& probe) {
     Database* current = weak.expired() ? nullptr : this->AtStep(name, step);
     if (current != nullptr) {
       current->call_under_way = false;
-      this->OnConfirm(name, *current, probe);
+      this->OnConfirm(name, *current, probe, sent);
     }
   });
 }
 
 void PrimaryAuthority::OnConfirm(const std::string& name, Database& database,
-                                 const BackendProbe& probe) {
+                                 const BackendProbe& probe, TimePoint sent) {
   if (probe.outcome != ProbeOutcome::kAnswered || probe.role != Role::kPrimary) {
     database.next_call = this->clock.Now() + kProbeInterval / 5;
     return;
@@ -375,6 +375,7 @@
     this->hooks.demote(*old_server, probe.term);
   }
   database.record.serving = true;
+  database.newest = PositionObservation{probe.received, sent};
   database.hand_over_not_before = this->clock.Now() + kHandOverPause;
   this->Enter(name, database, Phase::kServing);
   this->StoreServing(name, database);
--- a/src/leader/primary_watch.cc
+++ b/src/leader/primary_watch.cc
@@ -53,13 +53,15 @@
 std::string PrimaryAuthority::ReasonOfDeath(const std::string& name, Database& database) {
   const TimePoint now = this->clock.Now();
   const Duration silence = now - database.last_answer;
-  if (silence <= kProbeAfterSilence && !database.suspected) {
+  const bool position_old = !database.newest || now - database.newest->as_of > kPositionAge;
+  if (silence <= kProbeAfterSilence && !database.suspected && !position_old) {
     return "";
   }
   // A member that cannot reach the primary keeps suspecting it; one answer settles that for a
   // while.
   const bool urgent = silence > kProbeAfterSilence || database.refusals > 0;
-  const Duration pause = urgent ? kProbeInterval : kSuspicionPause;
+  const Duration calm_pause = database.suspected ? kSuspicionPause : kPositionAge;
+  const Duration pause = urgent ? kProbeInterval : calm_pause;
   if (now - database.last_probe >= pause) {
     this->ProbePrimary(name, database);
   }
@@ -142,6 +144,11 @@
         current->refusals = 0;
         current->suspected = false;
         current->last_answer = std::max(current->last_answer, sent);
+        // A smaller position comes from a server that started again without its log.
+        if (!current->newest ||
+            (current->newest->as_of < sent && current->newest->position <= probe.received)) {
+          current->newest = PositionObservation{probe.received, sent};
+        }
         return;
       case ProbeOutcome::kBusy:
         current->refusals = 0;
--- a/src/leader/store_mirror.cc
+++ b/src/leader/store_mirror.cc
@@ -18,7 +18,7 @@
       last_success(clock.Now()),
       watch_started(clock.Now()) {}
 
-void StoreMirror::Start() { this->List(); }
+void StoreMirror::Start() { this->Watch(); }
 
 void StoreMirror::Later(Duration delay, void (StoreMirror::*step)()) {
   this->scheduler.RunAfter(delay, [this, step, weak = std::weak_ptr<bool>(this->alive)] {
@@ -71,12 +71,28 @@
   this->Watch();
 }
 
+void StoreMirror::Pause() {
+  // The history of the pause may be gone by its end.
+  this->must_list = true;
+  this->pause = this->next_pause++;
+  this->scheduler.RunAfter(kRelaxedCheck,
+                           [this, number = this->pause, weak = std::weak_ptr<bool>(this->alive)] {
+                             if (!weak.expired() && number == this->pause) {
+                               this->Wake();
+                             }
+                           });
+}
+
+void StoreMirror::Wake() {
+  if (std::exchange(this->pause, 0) != 0) {
+    this->Watch();
+  }
+}
+
 void StoreMirror::Watch() {
   const bool relaxed = this->synchronized && this->reachable && this->Relaxed();
-  if (relaxed && !this->options.relaxed_watch_timeout) {
-    // The history of the pause may be gone by its end.
-    this->must_list = true;
-    this->Later(kRelaxedCheck, &StoreMirror::Watch);
+  if (!this->Wanted() || (relaxed && !this->options.relaxed_watch_timeout)) {
+    this->Pause();
     return;
   }
   if (this->must_list) {
@@ -149,7 +165,9 @@
   const auto half = this->retry_delay.count() / 2;
   const Duration delay(
       half + static_cast<std::int64_t>(this->random() % static_cast<std::uint64_t>(half + 1)));
-  this->retry_delay = std::min(this->retry_delay * 2, kMaxRetryDelay);
+  const Duration limit =
+      this->hooks.max_retry_delay ? this->hooks.max_retry_delay() : kMaxRetryDelay;
+  this->retry_delay = std::min(this->retry_delay * 2, limit);
   this->Later(delay, &StoreMirror::Watch);
 }
 
--- a/src/leader/store_mirror_test.cc
+++ b/src/leader/store_mirror_test.cc
@@ -53,6 +53,8 @@
     hooks.synchronized = [] {};
     hooks.reachable = [](bool) {};
     hooks.relaxed = [this] { return this->relaxed; };
+    hooks.wanted = [this] { return this->wanted; };
+    hooks.max_retry_delay = [this] { return this->max_retry_delay; };
     this->mirror.emplace(this->store, options, hooks, this->clock, this->clock, [] { return 0; });
     this->mirror->Start();
   }
@@ -67,6 +69,8 @@
   int lists = 0;
   int watches = 0;
   bool relaxed = false;
+  bool wanted = true;
+  Duration max_retry_delay = StoreMirror::kMaxRetryDelay;
   bool down = false;
   std::vector<StoreEvent> events;
   const CoordinationStore store = Hooks();
@@ -120,5 +124,33 @@
   EXPECT_TRUE(this->mirror->Synchronized());
 }
 
+// Load pattern: 300 processes start, and each registration would wake the watches of all others.
+// Only the leader needs them, from the moment when it leads.
+TEST_F(StoreMirrorTest, AMirrorThatIsNotWantedMakesNoCallsUntilItIsWoken) {
+  this->Put("servers/a");
+  this->wanted = false;
+  this->Make(std::nullopt);
+  this->clock.Advance(seconds(60));
+  EXPECT_EQ(this->Calls(), 0);
+  this->wanted = true;
+  this->mirror->Wake();
+  this->clock.Advance(milliseconds(10));
+  EXPECT_EQ(this->events.size(), 1u);
+  this->clock.Advance(seconds(5));
+  EXPECT_EQ(this->lists, 1) << "the pause must not go on beside the watches";
+}
+
+// Load pattern: the store is down for a while, and 300 processes ask for it again and again.
+TEST_F(StoreMirrorTest, RetriesOfALargeFleetAreSpreadFurther) {
+  this->down = true;
+  this->max_retry_delay = seconds(4);
+  this->Make(std::nullopt);
+  this->clock.Advance(seconds(60));
+  EXPECT_LE(this->lists, 40);
+  this->down = false;
+  this->clock.Advance(seconds(4) + milliseconds(10));
+  EXPECT_TRUE(this->mirror->Synchronized());
+}
+
 }  // namespace
 }  // namespace sycamoredrum
--- a/src/relay/caller_session.cc
+++ b/src/relay/caller_session.cc
@@ -15,13 +15,19 @@
 RelayCallerSession::RelayCallerSession(SessionRelay::Impl& relay, std::string route_name,
                                        CallerSessionHooks hooks)
     : relay(relay),
+      relay_alive(relay.alive),
       route_name(std::move(route_name)),
       hooks(std::move(hooks)),
       last_activity(relay.clock.Now()) {
   this->relay.sessions.insert(this);
 }
 
-RelayCallerSession::~RelayCallerSession() { this->relay.sessions.erase(this); }
+// A callback that waits in the scheduler may keep a session longer than the relay.
+RelayCallerSession::~RelayCallerSession() {
+  if (!this->relay_alive.expired()) {
+    this->relay.sessions.erase(this);
+  }
+}
 
 void RelayCallerSession::Handle(Statement statement) {
   if (this->gone) {
@@ -77,6 +83,7 @@
       this->Forward(std::move(statement));
       break;
     case StatementKind::kReset:
+    case StatementKind::kPosition:
     case StatementKind::kInvalid:
       this->ReplyError(StatementErrorCode::kMalformed, "the statement cannot be read");
       break;
@@ -183,7 +190,14 @@
                        this->Writes(next.statement);
   next.number = this->next_attempt++;
   this->attempt = std::move(next);
-  this->Later(limit, [this] { this->OnDeadline(); });
+  this->Later(limit, [this] {
+    this->EndStatement(this->attempt->sent ? "no answer within the statement's time limit"
+                                           : "no server could take the statement in time");
+  });
+  if (this->relay.refuse_all) {
+    this->EndStatement(*this->relay.refuse_all);
+    return;
+  }
   this->Dispatch();
 }
 
--- a/src/relay/caller_session.h
+++ b/src/relay/caller_session.h
@@ -22,6 +22,8 @@
   void CallerGone() override;
   bool Idle() const override;
   void AbortTransaction(const std::string& reason) override;
+  bool Waiting() const override { return this->attempt && !this->attempt->sent; }
+  void EndStatement(const std::string& reason) override;
 
   /// Chooses a server again; called when the reason for waiting may be gone.
   void Continue();
@@ -80,8 +82,9 @@
   void Dispatch();
   void WaitForPrimary();
   void GiveUpIfCutOff();
-  /// True if this read should wait for the position that another one asks for.
-  bool PositionIsAskedFor();
+  /// True if this read should wait until the primary has told its position, and false if it should
+  /// go to the primary itself, which is always fresh.
+  bool WaitsForPosition(const PrimaryGrant& grant);
   void Acquire(const std::string& server_id, std::optional<PrimaryGrant> grant);
   void OnLease(const std::string& server_id, const std::optional<PrimaryGrant>& grant,
                const LeaseAnswer& answer);
@@ -94,7 +97,6 @@
   void OnRefusedByServer(const StatementError& error);
   void OnAnswer(const StatementResult& result);
   bool RepeatFailedRead(const StatementResult& answer);
-  void OnDeadline();
 
   void RetryLater(Duration delay, const std::string& reason);
   void Refuse(const std::string& reason, Duration retry_after);
@@ -115,6 +117,7 @@
   void Later(Duration delay, std::function<void()> action);
 
   SessionRelay::Impl& relay;
+  const std::weak_ptr<bool> relay_alive;
   const std::string route_name;
   CallerSessionHooks hooks;
   RelayRoute route;  ///< As of the start of the present statement or transaction.
--- a/src/relay/caller_session_dispatch.cc
+++ b/src/relay/caller_session_dispatch.cc
@@ -55,8 +55,8 @@
   }
   const std::optional<PrimaryGrant> grant = this->relay.grants.Current(this->route.database);
   if (!this->attempt->needs_primary && !this->RequiredPosition()) {
-    // Nothing recent enough is known of the log; the primary itself is always fresh.
-    if (!grant || this->PositionIsAskedFor()) {
+    // Nothing recent enough is known of the log.
+    if (!grant || this->WaitsForPosition(*grant)) {
       this->WaitForPrimary();
       return;
     }
@@ -89,18 +89,15 @@
   }
 }
 
-// One read after the other asks; the position that the first one brings lets all others use
-// replicas.
-// Load pattern: all processes restart, and every read of the first second goes to the primary.
-bool RelayCallerSession::PositionIsAskedFor() {
-  const TimePoint now = this->Now();
-  std::optional<TimePoint>& until =
-      this->relay.databases[this->route.database].position_asked_until;
-  if (until && now < *until && now - this->attempt->arrived < SessionRelay::kPositionWait) {
-    return true;
+// The answer to one question lets all waiting reads use replicas.
+// Load patterns: all processes restart, and every read of the first second goes to the primary; the
+// leader is gone, and no process hears of positions.
+bool RelayCallerSession::WaitsForPosition(const PrimaryGrant& grant) {
+  if (this->Now() - this->attempt->arrived >= SessionRelay::kPositionWait) {
+    return false;
   }
-  until = now + SessionRelay::kPositionWait;
-  return false;
+  this->relay.AskPosition(this->route.database, grant);
+  return true;
 }
 
 // A statement that the successor of a lost primary can still serve in time is worth the wait; the
@@ -157,6 +154,7 @@
   switch (answer.status) {
     case LeaseStatus::kGranted:
       this->held = Held{server_id, answer.lease, grant, false};
+      ++server->leases;
       this->Prepare();
       return;
     case LeaseStatus::kQueueFull:
--- a/src/relay/caller_session_result.cc
+++ b/src/relay/caller_session_result.cc
@@ -159,7 +159,10 @@
   this->Reply(std::move(result));
 }
 
-void RelayCallerSession::OnDeadline() {
+void RelayCallerSession::EndStatement(const std::string& reason) {
+  if (!this->attempt) {
+    return;
+  }
   const bool sent = this->attempt->sent;
   const bool committing = this->attempt->statement.kind == StatementKind::kCommit;
   const bool durable = committing ? this->wrote : this->Writes(this->attempt->statement);
@@ -174,16 +177,16 @@
   }
   if (in_transaction) {
     this->transaction = committing && sent ? TransactionState::kNone : TransactionState::kFailed;
-    this->abort_reason = "the statement's time limit passed";
+    this->abort_reason = reason;
   }
   if (sent && durable && (committing || !in_transaction)) {
-    this->Fail(StatementErrorCode::kUnknownOutcome, "no answer within the statement's time limit");
+    this->Fail(StatementErrorCode::kUnknownOutcome, reason);
   } else if (in_transaction) {
-    this->Fail(StatementErrorCode::kAborted, "no answer within the statement's time limit");
+    this->Fail(StatementErrorCode::kAborted, reason);
   } else if (sent) {
-    this->Fail(StatementErrorCode::kTimeout, "no answer within the statement's time limit");
+    this->Fail(StatementErrorCode::kTimeout, reason);
   } else {
-    this->Refuse("no server could take the statement in time", kPrimaryRetryDelay);
+    this->Refuse(reason, kPrimaryRetryDelay);
   }
 }
 
--- a/src/relay/read_placement.cc
+++ b/src/relay/read_placement.cc
@@ -12,7 +12,8 @@
     if (!candidate.usable) {
       continue;
     }
-    double time = std::chrono::duration<double>(candidate.response_time).count();
+    double time =
+        std::chrono::duration<double>(candidate.response_time + candidate.connect_time).count();
     time *= 1.0 + static_cast<double>(candidate.outstanding) / kExpectedParallelism;
     time *= candidate.primary ? kPrimaryPenalty : 1.0;
     time *= 1.0 + kFailurePenalty * candidate.failure_share;
--- a/src/relay/read_placement.h
+++ b/src/relay/read_placement.h
@@ -13,6 +13,7 @@
 struct PlacementCandidate {
   std::string server;
   Duration response_time{};     ///< Moving average, network included.
+  Duration connect_time{};      ///< Added if a connection must be opened first; zero otherwise.
   std::size_t outstanding = 0;  ///< Statements of this process that run or wait there.
   double failure_share = 0;     ///< Moving share of the statements that failed there.
   bool primary = false;
--- a/src/relay/relay_state.h
+++ b/src/relay/relay_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -21,6 +22,7 @@
   std::unique_ptr<ConnectionPool> pool;
   std::map<ConnectionId, std::unique_ptr<BackendSession>> sessions;
   Duration response_time{};
+  Duration connect_time{};      ///< Moving average of the time until a connection is open.
   double failure_share = 0;     ///< Moving share of the statements that failed.
   std::size_t outstanding = 0;  ///< Statements that were sent and not answered.
   TimePoint answered_at;        ///< When it last answered a statement or opened a connection.
@@ -30,11 +32,13 @@
   std::optional<TimePoint> failing_since;  ///< No answer since then, though it was asked.
   double demand = 0;                       ///< Moving average of the statements that run or wait.
   int demand_samples = 0;
+  int leases = 0;         ///< Since the last tick.
+  double lease_rate = 0;  ///< Moving average of the leases in a second.
 };
 
 struct RelayDatabase {
   FreshnessWindow window;
-  /// Until then, one read asks the primary for a position that others wait for.
+  /// Until then, the primary is being asked for a position that reads wait for.
   std::optional<TimePoint> position_asked_until;
   /// Sessions that wait for a primary, or for a position of its log.
   std::list<std::weak_ptr<RelayCallerSession>> waiting;
@@ -51,8 +55,8 @@
   void UpdateLimits();
   void Count(const std::string& route, const std::string& outcome, Duration elapsed);
   int Limit(const RelayServer& server) const;
-  /// True if the server does not admit the least share of every process at the same time.
-  bool Scarce(const RelayServer& server) const;
+  /// Time after which an unused connection to the server is closed.
+  Duration IdleLimit(const RelayServer& server) const;
   void OpenConnection(const std::string& id, const OpenCallback& done);
   void CloseConnection(const std::string& id, ConnectionId connection);
   /// Server for a read, or nothing if none is usable.
@@ -66,6 +70,13 @@
   void Observe(const std::string& database, std::uint64_t generation,
                const PositionObservation& observation);
   void WakeWaiting(const std::string& database);
+  /// Asks the primary for its log position unless that is under way.
+  void AskPosition(const std::string& database, const PrimaryGrant& grant);
+  void OnPositionLease(const std::string& database, const PrimaryGrant& grant,
+                       const LeaseAnswer& answer);
+  /// Runs `action` on the sessions that are `chosen` at the start; it may end sessions.
+  void ForEachSession(const std::function<bool(const RelayCallerSession&)>& chosen,
+                      const std::function<void(RelayCallerSession&)>& action);
 
   SessionRelayOptions options;
   SessionRelayHooks hooks;
@@ -81,7 +92,9 @@
   std::set<RelayCallerSession*> sessions;
   std::map<std::string, int> shares;
   bool cut_off = false;
+  std::optional<std::string> refuse_all;  ///< Why no more statements are taken.
   std::size_t fleet_size = 1;
+  TimePoint last_tick;
   ConnectionId next_connection = 1;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);  ///< Expires with the relay.
 };
--- a/src/relay/session_relay.cc
+++ b/src/relay/session_relay.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "caller_session.h"
+#include "idle_connections.h"
 #include "read_placement.h"
 #include "relay_state.h"
 
@@ -23,6 +24,11 @@
 // Weight of a new sample in the average of the demand; with a sample each tick, it covers about
 // half a second.
 constexpr double kDemandSmoothing = 0.1;
+// The question for a position is short, and several reads wait for its answer: it goes first.
+constexpr int kPositionWeight = 8;
+// Time constant of the average number of leases in a second. A process of a large fleet asks one
+// server a few times in that time.
+constexpr double kLeaseRateSeconds = 5.0;
 // Less demand than this is not reported.
 constexpr double kLeastDemand = 0.05;
 
@@ -39,7 +45,8 @@
       random(std::move(random)),
       logger(logger),
       metrics(metrics),
-      configuration(std::make_shared<RelayConfiguration>()) {}
+      configuration(std::make_shared<RelayConfiguration>()),
+      last_tick(clock.Now()) {}
 
 RelayServer* SessionRelay::Impl::FindServer(const std::string& id) {
   const auto found = this->servers.find(id);
@@ -51,10 +58,11 @@
   return share == this->shares.end() ? kInitialShare : share->second;
 }
 
-bool SessionRelay::Impl::Scarce(const RelayServer& server) const {
+Duration SessionRelay::Impl::IdleLimit(const RelayServer& server) const {
   const auto cap = this->configuration->connection_caps.find(server.record.database);
-  return cap != this->configuration->connection_caps.end() &&
-         static_cast<std::size_t>(cap->second) < this->fleet_size * kInitialShare;
+  return cap == this->configuration->connection_caps.end()
+             ? kUnusedLimit
+             : IdleConnectionLimit(cap->second, this->fleet_size, server.lease_rate);
 }
 
 void SessionRelay::Impl::UpdateLimits() {
@@ -68,6 +76,7 @@
   server->record = record;
   server->response_time =
       record.data_centre == this->options.data_centre ? kNearResponseTime : kFarResponseTime;
+  server->connect_time = server->response_time;
   server->answered_at = this->clock.Now();
   server->waiting_since = this->clock.Now();
   server->behind_until = this->clock.Now();
@@ -109,6 +118,8 @@
       present.answered_at = this->clock.Now();
       present.failing_since.reset();
       present.unreachable_until = this->clock.Now();
+      present.connect_time +=
+          ((this->clock.Now() - started) - present.connect_time) / kResponseTimeSmoothing;
       if (generation && position) {
         this->Observe(database, *generation, PositionObservation{*position, started});
       }
@@ -178,6 +189,7 @@
     PlacementCandidate candidate;
     candidate.server = id;
     candidate.response_time = server->response_time;
+    candidate.connect_time = server->pool->Idle() > 0 ? Duration::zero() : server->connect_time;
     candidate.failure_share = server->failure_share;
     candidate.outstanding = server->pool->Leased() + server->pool->Waiting();
     candidate.primary = grant && grant->server == id;
@@ -235,6 +247,58 @@
   }
 }
 
+void SessionRelay::Impl::AskPosition(const std::string& database, const PrimaryGrant& grant) {
+  const TimePoint now = this->clock.Now();
+  std::optional<TimePoint>& until = this->databases[database].position_asked_until;
+  RelayServer* server = this->FindServer(grant.server);
+  if (server == nullptr || (until && now < *until)) {
+    return;
+  }
+  until = now + kPositionWait;
+  LeaseRequest request;
+  request.caller_group = "position";
+  request.weight = kPositionWeight;
+  request.deadline = *until;
+  server->pool->Acquire(request, [this, weak = std::weak_ptr<bool>(this->alive), database,
+                                  grant](const LeaseAnswer& answer) {
+    if (!weak.expired() && answer.status == LeaseStatus::kGranted) {
+      this->OnPositionLease(database, grant, answer);
+    }
+  });
+}
+
+void SessionRelay::Impl::OnPositionLease(const std::string& database, const PrimaryGrant& grant,
+                                         const LeaseAnswer& answer) {
+  RelayServer* server = this->FindServer(grant.server);
+  if (server == nullptr) {
+    return;
+  }
+  const auto session = server->sessions.find(answer.lease.connection);
+  // A new connection has brought the position already.
+  const bool answered = !this->databases[database].position_asked_until;
+  if (session == server->sessions.end() || session->second->Broken() || answered ||
+      !this->grants.StillValid(database, grant.generation)) {
+    server->pool->Release(answer.lease,
+                          answered ? ConnectionState::kClean : ConnectionState::kBroken);
+    return;
+  }
+  Statement question;
+  question.kind = StatementKind::kPosition;
+  session->second->Execute(
+      SessionProfile{}, BackendCommand{question, std::nullopt},
+      [this, weak = std::weak_ptr<bool>(this->alive), database, grant, lease = answer.lease,
+       sent = this->clock.Now()](const std::optional<StatementResult>& result) {
+        RelayServer* present = weak.expired() ? nullptr : this->FindServer(grant.server);
+        if (present == nullptr) {
+          return;
+        }
+        present->pool->Release(lease, result ? ConnectionState::kClean : ConnectionState::kBroken);
+        if (result && result->position && this->grants.StillValid(database, grant.generation)) {
+          this->Observe(database, grant.generation, PositionObservation{*result->position, sent});
+        }
+      });
+}
+
 void SessionRelay::Impl::WakeWaiting(const std::string& database) {
   const auto found = this->databases.find(database);
   if (found == this->databases.end() || !this->grants.Current(database)) {
@@ -373,23 +437,22 @@
 
 void SessionRelay::Tick() {
   const TimePoint now = this->impl->clock.Now();
-  std::vector<std::shared_ptr<RelayCallerSession>> active;
-  for (RelayCallerSession* session : this->impl->sessions) {
-    if (session->Busy() || session->InTransaction()) {
-      if (auto shared = session->weak_from_this().lock()) {
-        active.push_back(std::move(shared));
-      }
-    }
-  }
-  for (const std::shared_ptr<RelayCallerSession>& session : active) {
-    session->Tick(now);
-  }
+  this->impl->ForEachSession(
+      [](const RelayCallerSession& session) { return session.Busy() || session.InTransaction(); },
+      [now](RelayCallerSession& session) { session.Tick(now); });
+  const Duration elapsed = now - std::exchange(this->impl->last_tick, now);
   for (const auto& [id, server] : this->impl->servers) {
     const auto wanted = static_cast<double>(server->pool->Leased() + server->pool->Waiting());
     ++server->demand_samples;
     const double weight = std::max(kDemandSmoothing, 1.0 / server->demand_samples);
     server->demand += (wanted - server->demand) * weight;
-    server->pool->CloseUnused(this->impl->Scarce(*server) ? kScarceUnusedLimit : kUnusedLimit);
+    if (elapsed > Duration::zero()) {
+      const double seconds = std::chrono::duration<double>(elapsed).count();
+      const double sample = std::exchange(server->leases, 0) / seconds;
+      const double part = std::min(seconds / kLeaseRateSeconds, 1.0);
+      server->lease_rate += (sample - server->lease_rate) * part;
+    }
+    server->pool->CloseUnused(this->impl->IdleLimit(*server));
     server->pool->CloseSurplus(kSurplusWindow);
   }
   this->GrantsChanged();
@@ -462,18 +525,39 @@
       [&database](const RelayCallerSession* session) { return session->UsesPrimary(database); }));
 }
 
-void SessionRelay::AbortTransactions(const std::string& reason) {
-  std::vector<std::shared_ptr<RelayCallerSession>> open;
-  for (RelayCallerSession* session : this->impl->sessions) {
-    if (session->InTransaction()) {
+void SessionRelay::Impl::ForEachSession(
+    const std::function<bool(const RelayCallerSession&)>& chosen,
+    const std::function<void(RelayCallerSession&)>& action) {
+  std::vector<std::shared_ptr<RelayCallerSession>> matching;
+  for (RelayCallerSession* session : this->sessions) {
+    if (chosen(*session)) {
       if (auto shared = session->weak_from_this().lock()) {
-        open.push_back(std::move(shared));
+        matching.push_back(std::move(shared));
       }
     }
   }
-  for (const std::shared_ptr<RelayCallerSession>& session : open) {
-    session->AbortTransaction(reason);
+  for (const std::shared_ptr<RelayCallerSession>& session : matching) {
+    action(*session);
   }
 }
 
+void SessionRelay::AbortTransactions(const std::string& reason) {
+  this->impl->ForEachSession(
+      [](const RelayCallerSession& session) { return session.InTransaction(); },
+      [&reason](RelayCallerSession& session) { session.AbortTransaction(reason); });
+}
+
+void SessionRelay::StopTaking(const std::string& reason) {
+  this->impl->refuse_all = reason;
+  this->impl->ForEachSession(
+      [](const RelayCallerSession& session) { return session.Waiting(); },
+      [&reason](RelayCallerSession& session) { session.EndStatement(reason); });
+}
+
+void SessionRelay::EndStatements(const std::string& reason) {
+  this->impl->ForEachSession(
+      [](const RelayCallerSession& session) { return session.Busy(); },
+      [&reason](RelayCallerSession& session) { session.EndStatement(reason); });
+}
+
 }  // namespace sycamoredrum
--- a/src/relay/session_relay_load_test.cc
+++ b/src/relay/session_relay_load_test.cc
@@ -1,9 +1,15 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "idle_connections.h"
 #include "session_relay_fixture_test.h"
 
 namespace sycamoredrum {
@@ -69,6 +75,34 @@
   EXPECT_LE(at_primary, kReaders / 3);
 }
 
+// Load pattern: the leader is gone and tells no positions any more, and the primary is slow. Reads
+// that asked it for its position by running there kept it slow.
+TEST_F(SessionRelayTest, ReadsAskASlowPrimaryForItsPositionOnly) {
+  auto records = this->database.Records();
+  this->relay->SetServers({});
+  for (auto& [id, record] : records) {
+    record.data_centre = "elsewhere";  // No server is near.
+  }
+  this->relay->SetServers(records);
+  this->Do(this->Open("place"), Make(StatementKind::kWrite, "warm"));
+  this->Advance(seconds(3));
+  ASSERT_EQ(this->database.At(0).connections, 1U);
+  this->database.At(0).work = milliseconds(400);
+  constexpr int kReaders = 20;
+  std::vector<TestCaller*> readers;
+  for (int i = 0; i < kReaders; ++i) {
+    readers.push_back(&this->Open("stock"));
+    readers.back()->session->Handle(Make(StatementKind::kRead, "r" + std::to_string(i)));
+  }
+  this->Advance(milliseconds(200));
+  int answered = 0;
+  for (const TestCaller* reader : readers) {
+    answered += reader->LastSucceeded() ? 1 : 0;
+  }
+  // Some are placed on the primary, because it is not known to be slow yet.
+  EXPECT_GE(answered, kReaders / 2);
+}
+
 // Load pattern: the first statement after a restart is slow. The connection that it waits for has
 // brought the position by then.
 TEST_F(SessionRelayTest, ANewConnectionToThePrimaryBringsItsPosition) {
@@ -98,15 +132,71 @@
 // Load pattern: many processes, each with a statement now and then. Closing connections early makes
 // nearly every statement open one; keeping them fills a small cap.
 TEST_F(SessionRelayTest, UnusedConnectionsAreClosedEarlyOnlyIfTheCapIsSmall) {
-  for (const std::size_t processes : {10, 11}) {  // The cap is 21; every process may open two.
+  // The cap is 21: ten processes may open two each, and 200 take turns.
+  for (const std::size_t processes : {10, 200}) {
     this->relay->SetFleetSize(processes);
     TestCaller& caller = this->Open("place");
     this->Do(caller, Make(StatementKind::kRead, "r"));
-    this->Advance(SessionRelay::kScarceUnusedLimit * 2);
+    this->Advance(milliseconds(1600));
     EXPECT_EQ(this->database.At(0).connections, processes == 10 ? 1u : 0u) << processes;
   }
 }
 
+// Load pattern: 295 processes that send a server a statement every few seconds, and a cap of 173.
+// The connections stay below the cap, and more statements find an open one than with a fixed limit
+// that keeps below it at the busiest second.
+TEST(IdleConnectionsTest, ProcessesTakeTurnsBelowTheCap) {
+  constexpr std::size_t kProcesses = 295;
+  constexpr int kCap = 173;
+  std::mt19937_64 random(20261204);
+  // Some processes have several times the callers of others.
+  std::vector<double> rates;
+  std::lognormal_distribution<double> spread(-1.6, 0.7);
+  for (std::size_t i = 0; i < kProcesses; ++i) {
+    rates.push_back(spread(random));
+  }
+  const auto play = [&](const std::function<double(double)>& limit) {
+    std::mt19937_64 arrivals(1);
+    std::map<int, int> changes;  // Of the open connections, by millisecond.
+    int reused = 0;
+    int statements = 0;
+    const auto add = [&changes](double start, double end) {
+      ++changes[static_cast<int>(start * 1000)];
+      --changes[static_cast<int>(end * 1000)];
+    };
+    for (const double rate : rates) {
+      std::exponential_distribution<double> pause(rate);
+      double opened = 0;
+      double closed = 0;
+      for (double now = pause(arrivals); now < 200; now += pause(arrivals)) {
+        ++statements;
+        if (now < closed) {
+          ++reused;
+        } else {
+          add(opened, closed);
+          opened = now;
+        }
+        closed = now + 0.05 + limit(rate);
+      }
+      add(opened, closed);
+    }
+    int open = 0;
+    int most = 0;
+    for (const auto& [time, change] : changes) {
+      open += change;
+      most = std::max(most, open);
+    }
+    return std::pair(static_cast<double>(reused) / statements, most);
+  };
+  const auto [shared, most_shared] = play([&](double rate) {
+    return std::chrono::duration<double>(IdleConnectionLimit(kCap, kProcesses, rate)).count();
+  });
+  EXPECT_LT(most_shared, kCap);
+  const auto [fixed, most_fixed] = play([](double) { return 0.8; });
+  EXPECT_LT(most_fixed, kCap);
+  EXPECT_GT(shared, 1.3 * fixed);
+}
+
 // Guards against reads that wait for a position that never comes: the one that asks for it may
 // have met a broken connection.
 TEST_F(SessionRelayTest, ReadsDoNotWaitForeverForAPosition) {
--- a/src/relay/session_relay_test.cc
+++ b/src/relay/session_relay_test.cc
@@ -339,5 +339,50 @@
   EXPECT_EQ(caller.LastError(), StatementErrorCode::kUnknownDatabase);
 }
 
+// Guards against a stop that closes sessions whose statement has no answer: what waits did not run,
+// and what was sent is still answered.
+TEST_F(SessionRelayTest, AStopRefusesWhatWaitsAndLetsTheRestEnd) {
+  this->database.At(0).work = milliseconds(200);
+  TestCaller& running = this->Open("place");
+  running.session->Handle(Make(StatementKind::kWrite, "running"));
+  this->Advance(milliseconds(100));
+  TestCaller& waiting = this->Open("place");
+  this->relay->SetShares({{"orders-0", 1}});
+  waiting.session->Handle(Make(StatementKind::kWrite, "waiting"));
+  this->relay->StopTaking("the proxy stops");
+  EXPECT_EQ(waiting.LastError(), StatementErrorCode::kBusy);
+  EXPECT_TRUE(running.results.empty());
+  TestCaller& late = this->Open("place");
+  late.session->Handle(Make(StatementKind::kWrite, "late"));
+  EXPECT_EQ(late.LastError(), StatementErrorCode::kBusy);
+  this->Advance(milliseconds(300));
+  EXPECT_TRUE(running.LastSucceeded());
+  EXPECT_TRUE(this->RunsOf("waiting").empty());
+  EXPECT_TRUE(this->RunsOf("late").empty());
+}
+
+// Each statement that a server still runs at the end of a stop gets an answer that is true.
+TEST_F(SessionRelayTest, TheEndOfAStopAnswersWhatIsStillRunning) {
+  for (int i = 0; i < 3; ++i) {
+    this->database.At(i).work = seconds(30);
+  }
+  const auto start = [this](const std::string& route, StatementKind kind) -> TestCaller& {
+    TestCaller& caller = this->Open(route);
+    caller.session->Handle(Make(kind, route));
+    return caller;
+  };
+  TestCaller& writer = start("place", StatementKind::kWrite);
+  TestCaller& reader = start("place", StatementKind::kRead);
+  TestCaller& transaction = this->Open("quotes");
+  transaction.session->Handle(Make(StatementKind::kBegin, "b"));
+  transaction.session->Handle(Make(StatementKind::kWrite, "t"));
+  this->Advance(milliseconds(300));
+  ASSERT_EQ(transaction.results.size(), 1U);
+  this->relay->EndStatements("the proxy stops");
+  EXPECT_EQ(writer.LastError(), StatementErrorCode::kUnknownOutcome);
+  EXPECT_EQ(reader.LastError(), StatementErrorCode::kTimeout);
+  EXPECT_EQ(transaction.LastError(), StatementErrorCode::kAborted);
+}
+
 }  // namespace
 }  // namespace sycamoredrum
--- a/src/relay/simulated_database_test.h
+++ b/src/relay/simulated_database_test.h
@@ -149,7 +149,9 @@
     }
 
     void Send(const BackendCommand& command) override {
-      const Duration work = this->database.servers.at(this->server).work;
+      const bool question = command.statement.kind == StatementKind::kPosition;
+      const Duration work =
+          question ? std::chrono::milliseconds(1) : this->database.servers.at(this->server).work;
       this->busy_until = std::max(this->busy_until, this->database.clock.Now()) + work;
       this->database.clock.RunAfter(
           this->busy_until - this->database.clock.Now(),
--- a/src/relay_daemon/fleet_exchange.cc
+++ b/src/relay_daemon/fleet_exchange.cc
@@ -26,6 +26,7 @@
     state.epoch = epoch;
     state.servers_version = version;
     state.servers = this->servers.Records();
+    state.peers = this->SomePeers();
     this->servers_reply = ServersReply{epoch, version, ToJson(state)};
   }
   return this->servers_reply.text;
@@ -43,6 +44,7 @@
         if (state && state->epoch == epoch && state->servers_version != 0) {
           this->servers_epoch = epoch;
           this->servers_version = state->servers_version;
+          this->peers = state->peers;
           this->servers.Replace(state->servers);
         }
       });
@@ -56,9 +58,7 @@
   const bool leader_answers = this->leader && this->leader->member != this->self.member &&
                               this->clock.Now() - this->last_answer <= kLeaderSilence;
   std::vector<Endpoint> others = this->seeds;
-  for (const auto& [name, record] : this->members) {
-    others.push_back(record.endpoint);
-  }
+  others.insert(others.end(), this->peers.begin(), this->peers.end());
   others.erase(std::remove(others.begin(), others.end(), this->self.endpoint), others.end());
   if (others.empty() && !leader_answers) {
     return;
@@ -77,7 +77,28 @@
   });
 }
 
+// Drawn anew for each version of the records, so that the members do not all know the same few.
+std::vector<Endpoint> FleetMember::SomePeers() {
+  if (this->members.empty()) {
+    return this->peers;
+  }
+  std::vector<Endpoint> all;
+  for (const auto& [name, record] : this->members) {
+    all.push_back(record.endpoint);
+  }
+  std::vector<Endpoint> chosen;
+  while (chosen.size() < kPeersTold && !all.empty()) {
+    const std::size_t index = this->random() % all.size();
+    chosen.push_back(all[index]);
+    all.erase(all.begin() + static_cast<std::ptrdiff_t>(index));
+  }
+  return chosen;
+}
+
 void FleetMember::OnState(const SharedState& state) {
+  if (!state.peers.empty()) {
+    this->peers = state.peers;
+  }
   if (state.configuration > this->configuration_version && !state.configuration_text.empty()) {
     this->hooks.configuration(state.configuration_text);
   }
--- a/src/relay_daemon/fleet_leader.cc
+++ b/src/relay_daemon/fleet_leader.cc
@@ -8,18 +8,21 @@
 #include <utility>
 #include <vector>
 
+#include "sycamoredrum/connection_shares.h"
+
 namespace sycamoredrum {
 namespace {
 
 constexpr Duration kTakeOverRetryDelay = std::chrono::milliseconds(100);
 constexpr Duration kCleaningInterval = std::chrono::seconds(1);
 
-LeadershipOptions MakeLeadershipOptions(const MemberRecord& self) {
+LeadershipOptions MakeLeadershipOptions(const MemberRecord& self, Duration least_candidate_delay) {
   LeadershipOptions options;
   options.key = kLeaderKey;
   options.member = self.member;
   options.incarnation = self.incarnation;
   options.value = ToJson(self);
+  options.least_candidate_delay = least_candidate_delay;
   return options;
 }
 
@@ -27,9 +30,10 @@
 
 }  // namespace
 
-FleetLeader::FleetLeader(const RelayPlatform& platform, MemberRecord self, FleetLeaderHooks hooks,
-                         const Clock& clock, Scheduler& scheduler, RandomSource random,
-                         Logger& logger, Metrics& metrics)
+FleetLeader::FleetLeader(const RelayPlatform& platform, MemberRecord self,
+                         Duration least_candidate_delay, FleetLeaderHooks hooks, const Clock& clock,
+                         Scheduler& scheduler, RandomSource random, Logger& logger,
+                         Metrics& metrics)
     : platform(platform),
       self(std::move(self)),
       hooks(std::move(hooks)),
@@ -37,8 +41,8 @@
       scheduler(scheduler),
       logger(logger),
       metrics(metrics),
-      leadership(platform.store, MakeLeadershipOptions(this->self), this->MakeLeadershipHooks(),
-                 clock, scheduler, std::move(random)),
+      leadership(platform.store, MakeLeadershipOptions(this->self, least_candidate_delay),
+                 this->MakeLeadershipHooks(), clock, scheduler, std::move(random)),
       authority(this->MakeAuthorityHooks(), LeadershipOptions{}.lease, clock, scheduler, logger),
       last_cleaning(clock.Now()) {}
 
@@ -157,6 +161,7 @@
 void FleetLeader::Begin(std::uint64_t epoch, const StorePage& page) {
   std::map<std::string, PrimaryRecord> records;
   std::map<std::string, std::uint64_t> revisions;
+  this->member_revisions.clear();
   for (const KeyValue& item : page.items) {
     if (absl::StartsWith(item.key, kMembersPrefix)) {
       const std::string member = item.key.substr(std::string_view(kMembersPrefix).size());
@@ -290,9 +295,21 @@
   }
   const GrantSet grants = this->authority.OnReport(report);
   answer.epoch = grants.epoch;
+  answer.registered = this->member_revisions.count(message.member) != 0;
+  answer.store_in_reach = now - this->leadership.ConfirmedAt() < kStoreReachAge;
   answer.stamp = Stamp(now);
-  answer.primaries = grants.primaries;
-  answer.connections = grants.connections;
+  answer.heartbeat_interval = std::clamp<Duration>(
+      kHeartbeatIntervalPerMember * static_cast<std::int64_t>(this->member_revisions.size()),
+      kLeastHeartbeatInterval, kMostHeartbeatInterval);
+  answer.primaries_version = this->versions.VersionOf(grants.primaries);
+  if (message.epoch != answer.epoch || message.primaries_version != answer.primaries_version) {
+    answer.primaries = grants.primaries;
+  }
+  for (const auto& [server, share] : grants.connections) {
+    if (share != kLeastShare) {
+      answer.connections.emplace(server, share);
+    }
+  }
   for (const auto& [name, observation] : grants.positions) {
     const auto primary = grants.primaries.find(name);
     if (primary != grants.primaries.end()) {
--- a/src/relay_daemon/fleet_leader.h
+++ b/src/relay_daemon/fleet_leader.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "fleet_messages.h"
+#include "known_primaries.h"
 #include "sycamoredrum/event_loop.h"
 #include "sycamoredrum/leadership.h"
 #include "sycamoredrum/log.h"
@@ -39,12 +40,22 @@
   /// A registration without a heartbeat for this time is removed from the store.
   /// Longer than any grant that it may hold.
   static constexpr Duration kForgetMemberAfter = std::chrono::seconds(10);
+  /// Members rely on the leader's knowledge of the store if the store has confirmed the leadership
+  /// within this time: two renewals, one of which may be slow.
+  static constexpr Duration kStoreReachAge = std::chrono::milliseconds(1600);
+  /// Interval between heartbeats for each member of the fleet: a leader answers at most 370
+  /// heartbeats a second, and each takes about 0.1 ms.
+  static constexpr Duration kHeartbeatIntervalPerMember = std::chrono::microseconds(2700);
+  static constexpr Duration kLeastHeartbeatInterval = std::chrono::milliseconds(500);
+  /// About half of the shortest age that reads accept, so that members know a recent position.
+  static constexpr Duration kMostHeartbeatInterval = std::chrono::milliseconds(800);
   /// A leader that lost contact with the members stays out of the election for this time.
   static constexpr Duration kIsolationPause = std::chrono::seconds(10);
 
-  FleetLeader(const RelayPlatform& platform, MemberRecord self, FleetLeaderHooks hooks,
-              const Clock& clock, Scheduler& scheduler, RandomSource random, Logger& logger,
-              Metrics& metrics);
+  /// `least_candidate_delay` as in LeadershipOptions.
+  FleetLeader(const RelayPlatform& platform, MemberRecord self, Duration least_candidate_delay,
+              FleetLeaderHooks hooks, const Clock& clock, Scheduler& scheduler, RandomSource random,
+              Logger& logger, Metrics& metrics);
 
   /// Takes part in the election from now on.
   void Start() { this->leadership.Start(); }
@@ -88,6 +99,7 @@
   Leadership leadership;
   PrimaryAuthority authority;
   std::map<std::string, std::uint64_t> member_revisions;  ///< Registrations in the store.
+  PrimaryVersions versions;
   TimePoint last_cleaning;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);  ///< Expires with the object.
 };
--- a/src/relay_daemon/fleet_member.cc
+++ b/src/relay_daemon/fleet_member.cc
@@ -11,18 +11,31 @@
 
 constexpr Duration kStateInterval = std::chrono::seconds(1);
 constexpr Duration kRevocationPoll = std::chrono::milliseconds(10);
-constexpr Duration kLeaveTimeout = std::chrono::milliseconds(600);
+constexpr Duration kLeaveTimeout = std::chrono::milliseconds(400);
 
-StoreMirrorOptions MakeMirrorOptions() {
+StoreMirrorOptions MakeLeaderOptions() {
   StoreMirrorOptions options;
-  options.prefix = kFleetPrefix;
+  options.prefix = kLeaderKey;
   options.relaxed_watch_timeout = FleetMember::kRelaxedWatchTimeout;
   return options;
 }
 
+StoreMirrorOptions MakeMembersOptions() {
+  StoreMirrorOptions options;
+  options.prefix = kMembersPrefix;
+  options.watch_interval = FleetMember::kMembersWatchInterval;
+  return options;
+}
+
+// Load pattern: a leader on 0.12 of a core and 300 members; its heartbeats time out.
+Duration CandidateDelay(double processor_share) {
+  return processor_share < FleetMember::kLeaderProcessorShare ? FleetMember::kSmallCandidateDelay
+                                                              : Duration::zero();
+}
+
 }  // namespace
 
-FleetMember::FleetMember(const RelayPlatform& platform, MemberRecord self,
+FleetMember::FleetMember(const RelayPlatform& platform, MemberRecord self, double processor_share,
                          std::vector<Endpoint> seeds, const std::string& fleet_key,
                          FleetMemberHooks hooks, SessionRelay& relay, PrimaryGrants& grants,
                          ServerDirectory& servers, EventLoop& loop, const Clock& clock,
@@ -40,7 +53,7 @@
       logger(logger),
       metrics(metrics),
       random(random),
-      leader_part(platform, this->self,
+      leader_part(platform, this->self, CandidateDelay(processor_share),
                   FleetLeaderHooks{
                       [this](const std::string& member, const RevocationMessage& message,
                              std::function<void(const std::optional<RevocationAnswer>&)> done) {
@@ -48,7 +61,10 @@
                       },
                       [this] { this->Nudge(); }},
                   clock, loop, random, logger, metrics),
-      mirror(platform.store, MakeMirrorOptions(), this->MakeMirrorHooks(), clock, loop, random),
+      leader_mirror(platform.store, MakeLeaderOptions(), this->MakeLeaderHooks(), clock, loop,
+                    random),
+      members_mirror(platform.store, MakeMembersOptions(), this->MakeMembersHooks(), clock, loop,
+                     random),
       peer_server(loop, this->identity, PeerOptions{}, this->MakeHandlers()),
       started(clock.Now()),
       last_heartbeat(clock.Now()),
@@ -71,6 +87,7 @@
     HeartbeatAnswer answer = this->leader_part.OnHeartbeat(*message);
     answer.configuration = this->configuration_version;
     answer.servers_version = this->hooks.needs_servers() ? 0 : this->own_servers_version;
+    answer.fleet_size = this->members.size();
     respond(PeerReply{ToJson(answer), "", ""});
   };
   handlers["revoke"] = [this, unreadable](const PeerRequest& request, PeerRespond respond) {
@@ -101,28 +118,47 @@
     SharedState state = this->hooks.shared_state();
     state.leader = this->leader;
     state.epoch = this->leader_epoch;
+    state.peers = this->SomePeers();
     respond(PeerReply{ToJson(state), "", ""});
   };
   return handlers;
 }
 
-StoreMirrorHooks FleetMember::MakeMirrorHooks() {
+StoreMirrorHooks FleetMember::MakeLeaderHooks() {
   StoreMirrorHooks result;
-  result.changed = [this](const StoreEvent& event) { this->OnFleetKey(event); };
+  result.changed = [this](const StoreEvent& event) { this->OnLeaderKey(event); };
   result.synchronized = [this] {
     this->logger.Info("fleet_synchronized",
-                      {{"members", absl::StrCat(this->members.size())},
-                       {"leader", this->leader ? this->leader->member : "none"}});
-    this->leader_part.SetMembers(this->member_revisions);
+                      {{"leader", this->leader ? this->leader->member : "none"}});
     this->leader_part.Start();
   };
   result.relaxed = [this] { return this->HearsLeader(); };
+  result.wanted = [this] { return this->ReadsStore(); };
+  result.max_retry_delay = [this] { return this->MaxStoreRetryDelay(); };
   result.reachable = [this](bool reachable) {
-    this->logger.Info(reachable ? "store_regained" : "store_lost", {{"keys", kFleetPrefix}});
+    this->logger.Info(reachable ? "store_regained" : "store_lost", {{"keys", kLeaderKey}});
   };
   return result;
 }
 
+StoreMirrorHooks FleetMember::MakeMembersHooks() {
+  StoreMirrorHooks result;
+  result.changed = [this](const StoreEvent& event) { this->OnMemberKey(event); };
+  result.synchronized = [] {};
+  result.wanted = [this] { return this->leader_part.Leading(); };
+  result.reachable = [](bool) {};
+  return result;
+}
+
+Duration FleetMember::MaxStoreRetryDelay() const {
+  return std::max<Duration>(StoreMirror::kMaxRetryDelay,
+                            kRetryDelayPerMember * static_cast<std::int64_t>(this->fleet_size));
+}
+
+bool FleetMember::ReadsStore() const {
+  return this->fleet_size <= kMostWatchers || !this->store_in_reach || !this->HearsLeader();
+}
+
 bool FleetMember::Start() {
   if (!this->peer_server.Listen(this->self.endpoint)) {
     this->last_reason = this->peer_server.LastReason();
@@ -136,7 +172,7 @@
 // that was replaced before may still send grants until its own time is over, so it must be known
 // from the store which leader is the present one, or that time must have passed.
 bool FleetMember::MayAcceptGrants() const {
-  return this->mirror.Synchronized() ||
+  return this->leader_mirror.Synchronized() ||
          this->clock.Now() - this->started > LeadershipOptions{}.lease;
 }
 
@@ -152,7 +188,7 @@
   const bool has_grant = std::any_of(
       configuration->connection_caps.begin(), configuration->connection_caps.end(),
       [this](const auto& database) { return this->grants.Current(database.first).has_value(); });
-  return !has_grant && !this->mirror.Reachable() && !this->leader_part.Leading() &&
+  return !has_grant && !this->leader_mirror.Reachable() && !this->leader_part.Leading() &&
          this->clock.Now() - this->last_answer > kLeaderSilence;
 }
 
@@ -160,11 +196,14 @@
   this->leader_part.Tick();
   const TimePoint now = this->clock.Now();
   const Duration since = now - this->last_heartbeat;
-  if (since >= kHeartbeatInterval || (this->heartbeat_wanted && since >= kUrgentInterval)) {
+  if (since >= this->heartbeat_interval || (this->heartbeat_wanted && since >= kUrgentInterval)) {
     this->SendHeartbeat();
   }
-  if (this->leader_part.Leading() && now - this->last_notices >= kNoticeInterval) {
-    this->NotifySilentMembers();
+  if (this->leader_part.Leading()) {
+    if (now - this->last_notices >= kNoticeInterval) {
+      this->NotifySilentMembers();
+    }
+    this->SendPendingNotices();
   }
   const bool needs_state = !this->leader || now - this->last_answer > kLeaderSilence ||
                            this->configuration_version == 0 || this->hooks.needs_servers();
@@ -198,17 +237,31 @@
   return *link;
 }
 
-HeartbeatMessage FleetMember::MakeHeartbeat() const {
+// Positions and answers that this member only heard of from the leader are not told back.
+bool FleetMember::HasNews(const std::string& database, const DatabaseReport& report) const {
+  const bool refuses =
+      report.revoked_generation != 0 && report.revoked_generation >= report.generation;
+  const auto reported = this->reported_answers.find(database);
+  const bool answered = report.answered_at && (reported == this->reported_answers.end() ||
+                                               *report.answered_at > reported->second);
+  return refuses || answered || report.failing_since;
+}
+
+HeartbeatMessage FleetMember::MakeHeartbeat() {
   const TimePoint now = this->clock.Now();
   HeartbeatMessage message;
   message.member = this->self.member;
   message.epoch = this->grants.Epoch();
   message.configuration = this->configuration_version;
+  message.primaries_version = this->known_primaries.VersionFor(message.epoch);
   if (this->answer_stamp != 0 && this->answer_epoch == message.epoch) {
     message.echoed_stamp = this->answer_stamp;
     message.echo_held = now - this->answer_received;
   }
   for (const auto& [name, report] : this->relay.Report()) {
+    if (!this->HasNews(name, report)) {
+      continue;
+    }
     DatabaseReportMessage& database = message.databases[name];
     database.generation = report.generation;
     database.revoked_generation = report.revoked_generation;
@@ -218,6 +271,7 @@
     }
     if (report.answered_at) {
       database.answered_age = now - *report.answered_at;
+      this->reported_answers[name] = *report.answered_at;
     }
     if (report.failing_since) {
       database.failing_for = now - *report.failing_since;
@@ -229,7 +283,7 @@
 }
 
 void FleetMember::SendHeartbeat() {
-  if (this->heartbeat_under_way || this->leaving || !this->leader) {
+  if (this->heartbeat_under_way || this->left || !this->leader) {
     return;
   }
   const TimePoint sent = this->clock.Now();
@@ -239,6 +293,7 @@
   if (this->leader->member == this->self.member) {
     HeartbeatAnswer answer = this->leader_part.OnHeartbeat(message);
     answer.configuration = this->configuration_version;
+    answer.fleet_size = this->members.size();
     this->OnAnswer(answer, sent);
     return;
   }
@@ -253,6 +308,7 @@
                 this->OnAnswer(*answer, sent);
                 return;
               }
+              this->store_in_reach = false;
               this->metrics.Increment(Metric::kPeerErrors, {"heartbeat"});
               this->logger.Warning("heartbeat_failed",
                                    {{"leader", member}, {"reason", reply.message}});
@@ -260,15 +316,26 @@
 }
 
 void FleetMember::OnAnswer(const HeartbeatAnswer& answer, TimePoint sent) {
-  if (answer.epoch == 0 || !this->MayAcceptGrants() || !this->grants.Adopt(answer.epoch)) {
+  if (answer.epoch == 0) {
+    this->store_in_reach = false;
+    if (!answer.registered) {
+      this->RegisterAgain();
+    }
+    return;
+  }
+  if (!this->MayAcceptGrants() || !this->grants.Adopt(answer.epoch)) {
     return;
   }
   const TimePoint now = this->clock.Now();
   this->last_answer = now;
+  this->store_in_reach = answer.store_in_reach;
+  this->fleet_size = std::max<std::size_t>(answer.fleet_size, 1);
+  this->relay.SetFleetSize(this->fleet_size);
   this->answer_epoch = answer.epoch;
   this->answer_stamp = answer.stamp;
   this->answer_received = now;
-  for (const auto& [name, record] : answer.primaries) {
+  this->heartbeat_interval = answer.heartbeat_interval;
+  for (const auto& [name, record] : this->known_primaries.Update(answer)) {
     this->grants.Renew(name, PrimaryGrant{record.server, record.generation, answer.epoch,
                                           sent + PrimaryAuthority::kGrantValidity});
   }
@@ -343,16 +410,32 @@
   done(answer);
 }
 
+// The leader has new grants, or has just begun. Members are told in portions, because each notice
+// may need a new link, and is answered by a heartbeat.
+// Load pattern: a new leader on a small VM, and 300 members.
 void FleetMember::Nudge() {
+  this->members_mirror.Wake();
   this->heartbeat_wanted = true;
   this->SendHeartbeat();
   for (const auto& [name, record] : this->members) {
-    this->SendNotice(name);
+    this->notices_to_send.insert(name);
   }
+  this->SendPendingNotices();
+}
+
+void FleetMember::SendPendingNotices() {
+  const auto send = [this](std::set<std::string>& pending, std::size_t most) {
+    for (std::size_t sent = 0; sent < most && !pending.empty(); ++sent) {
+      this->SendNotice(pending.extract(pending.begin()).value());
+    }
+  };
+  send(this->notices_to_send, kNoticesPerTick);
+  send(this->links_to_open, kLinksPerTick);
 }
 
 void FleetMember::SendNotice(const std::string& member) {
   const auto record = this->members.find(member);
+  this->links_to_open.erase(member);
   if (member == this->self.member || record == this->members.end()) {
     return;
   }
@@ -366,7 +449,7 @@
 // A member that cannot read the store may still believe in an earlier leader.
 void FleetMember::NotifySilentMembers() {
   this->last_notices = this->clock.Now();
-  for (const std::string& member : this->leader_part.SilentMembers(kNoticeInterval * 2)) {
+  for (const std::string& member : this->leader_part.SilentMembers(kNoticeInterval * 3)) {
     this->SendNotice(member);
   }
 }
@@ -386,9 +469,15 @@
   this->leader_part.SetServers(records);
 }
 
-void FleetMember::Leave(std::function<void()> done) {
+void FleetMember::Retire() {
   this->leaving = true;
   this->leader_part.Resign("the process stops", std::chrono::hours(1));
+}
+
+// The registration is removed last: while it stands, no other server is promoted before this
+// process has given its grants back.
+void FleetMember::Leave(std::function<void()> done) {
+  this->left = true;
   const auto once = std::make_shared<std::function<void()>>(std::move(done));
   const auto finish = [once] {
     if (const auto action = std::exchange(*once, nullptr)) {
@@ -396,13 +485,12 @@
     }
   };
   this->loop.RunAfter(kLeaveTimeout, finish);
-  const auto own = this->member_revisions.find(this->self.member);
-  if (own == this->member_revisions.end()) {
+  if (this->own_revision == 0) {
     this->loop.Post(finish);
     return;
   }
   this->platform.store.write(ConditionalWrite{absl::StrCat(kMembersPrefix, this->self.member),
-                                              own->second, std::nullopt, 0},
+                                              this->own_revision, std::nullopt, 0},
                              {}, [finish](PlatformStatus, std::uint64_t) { finish(); });
 }
 
--- a/src/relay_daemon/fleet_member.h
+++ b/src/relay_daemon/fleet_member.h
@@ -36,7 +36,6 @@
 /// without a link. Not thread-safe; all callbacks run on the one worker of the loop.
 class FleetMember {
  public:
-  static constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(500);
   /// Time limit of a heartbeat and of other requests to members.
   static constexpr Duration kRequestTimeout = std::chrono::milliseconds(700);
   /// A member without an answer of its leader for this time asks others who leads.
@@ -44,6 +43,28 @@
   /// How long the store may hold a watch of a member that hears the leader, which tells it of new
   /// configurations as well. Below the 20 s for which the store keeps its history.
   static constexpr Duration kRelaxedWatchTimeout = std::chrono::seconds(10);
+  /// Members of a larger fleet leave the store to the leader while that one is in touch with it.
+  /// Two pending watches of each member cost one call a second at this size.
+  static constexpr std::size_t kMostWatchers = 24;
+  /// Longest pause after a failed call to the store for each member of the fleet, so that the calls
+  /// of a fleet in an outage stay at about a hundred a second for each key.
+  static constexpr Duration kRetryDelayPerMember = std::chrono::milliseconds(8);
+  /// Least time between two looks of the leader at the registrations.
+  static constexpr Duration kMembersWatchInterval = std::chrono::milliseconds(100);
+  /// A member that the leader does not find registers again, at most this often.
+  static constexpr Duration kRegisterAgainInterval = std::chrono::seconds(2);
+  /// Links to members that a new leader opens in each tick, before it needs them for revocations.
+  /// 300 links are open after four seconds; each costs about a millisecond of processor time.
+  static constexpr std::size_t kLinksPerTick = 4;
+  /// Members that are told of new grants in each tick.
+  static constexpr std::size_t kNoticesPerTick = 40;
+  /// Part of a core that the leader of a large fleet needs; a candidate with less lets the others
+  /// go first.
+  static constexpr double kLeaderProcessorShare = 0.2;
+  /// Covers the random delay of the others, a lease, and a write to the store.
+  static constexpr Duration kSmallCandidateDelay = std::chrono::milliseconds(250);
+  /// Members that one member is told of, for the time when it has lost the leader.
+  static constexpr std::size_t kPeersTold = 8;
   /// A process that has just started reads the records of the backend servers itself for this time.
   /// After a common restart the leader has more urgent work than to send them to everyone.
   static constexpr Duration kOwnRecordsAfterStart = std::chrono::seconds(3);
@@ -54,16 +75,26 @@
   /// Statements under way may end for this time before a planned revocation is acknowledged.
   static constexpr Duration kRevocationGrace = std::chrono::milliseconds(350);
 
-  FleetMember(const RelayPlatform& platform, MemberRecord self, std::vector<Endpoint> seeds,
-              const std::string& fleet_key, FleetMemberHooks hooks, SessionRelay& relay,
-              PrimaryGrants& grants, ServerDirectory& servers, EventLoop& loop, const Clock& clock,
-              RandomSource random, Logger& logger, Metrics& metrics);
+  /// `processor_share` is this process's part of a core; members with more of it are preferred as
+  /// leaders.
+  FleetMember(const RelayPlatform& platform, MemberRecord self, double processor_share,
+              std::vector<Endpoint> seeds, const std::string& fleet_key, FleetMemberHooks hooks,
+              SessionRelay& relay, PrimaryGrants& grants, ServerDirectory& servers, EventLoop& loop,
+              const Clock& clock, RandomSource random, Logger& logger, Metrics& metrics);
 
   /// Starts to listen for other members. Returns false and sets LastReason() on failure.
   bool Start();
   /// To be called every 50 ms or so.
   void Tick();
-  /// Leaves the fleet; `done` runs when the registration is removed or the store did not answer.
+  /// Longest pause of a member's mirrors after failed calls to the store.
+  Duration MaxStoreRetryDelay() const;
+  /// True unless the leader reads the store for this member as well.
+  bool ReadsStore() const;
+  /// The process is about to stop: it gives the leadership up, but keeps its grants for the work
+  /// that is left.
+  void Retire();
+  /// Leaves the fleet when no statement is in progress any more. `done` runs when the registration
+  /// is removed or the store did not answer.
   void Leave(std::function<void()> done);
   /// A primary refused or broke a connection; the leader is told at once.
   void Suspect(const std::string& database);
@@ -93,17 +124,23 @@
 
   std::map<std::string, PeerHandler> MakeHandlers();
   const std::string& MakeServersReply();
-  StoreMirrorHooks MakeMirrorHooks();
+  StoreMirrorHooks MakeLeaderHooks();
+  StoreMirrorHooks MakeMembersHooks();
+  std::vector<Endpoint> SomePeers();
   void Register();
   void WriteRegistration(std::uint64_t revision);
-  void Registered();
+  void Registered(std::uint64_t revision);
+  void RegisterAgain();
   void RetryRegistration();
-  void OnFleetKey(const StoreEvent& event);
+  void OnLeaderKey(const StoreEvent& event);
+  void OnMemberKey(const StoreEvent& event);
   void SetLeader(const MemberRecord& record, std::uint64_t epoch);
   bool MayAcceptGrants() const;
 
   void SendHeartbeat();
-  HeartbeatMessage MakeHeartbeat() const;
+  HeartbeatMessage MakeHeartbeat();
+  /// True if the leader should hear of `report`.
+  bool HasNews(const std::string& database, const DatabaseReport& report) const;
   void OnAnswer(const HeartbeatAnswer& answer, TimePoint sent);
   void RequestState();
   void RequestServers(std::uint64_t epoch);
@@ -118,6 +155,7 @@
   void Nudge();
   void SendNotice(const std::string& member);
   void NotifySilentMembers();
+  void SendPendingNotices();
   void LogGrants();
   PeerLink& LinkTo(const Endpoint& endpoint);
 
@@ -135,21 +173,35 @@
   Metrics& metrics;
   RandomSource random;
   FleetLeader leader_part;
-  StoreMirror mirror;
+  StoreMirror leader_mirror;   ///< The leader's key.
+  StoreMirror members_mirror;  ///< The registrations; only while this process leads.
   PeerServer peer_server;
   std::map<Endpoint, std::unique_ptr<PeerLink>> links;
-  std::map<std::string, MemberRecord> members;
+  std::map<std::string, MemberRecord> members;  ///< As of the time when this process led.
   std::map<std::string, std::uint64_t> member_revisions;
+  std::vector<Endpoint> peers;          ///< Told by the leader.
+  std::set<std::string> links_to_open;  ///< Members to which a new leader has no link yet.
+  std::set<std::string> notices_to_send;
   std::optional<MemberRecord> leader;
   std::uint64_t leader_epoch = 0;  ///< Of `leader`.
   std::map<std::string, std::string> logged_grants;
   TimePoint started;
-  bool registered = false;
+  std::uint64_t own_revision = 0;  ///< Of this member's registration.
+  std::optional<TimePoint> registered_at;
+  bool registering = false;
   bool mirror_started = false;
+  bool store_in_reach = false;  ///< As the leader's last answer says.
+  std::size_t fleet_size = 1;
   bool leaving = false;
+  bool left = false;
+  bool members_changed = false;
   bool heartbeat_under_way = false;
   bool heartbeat_wanted = false;
   bool state_under_way = false;
+  KnownPrimaries known_primaries;
+  /// When the primaries had last answered this member, as the leader was told.
+  std::map<std::string, TimePoint> reported_answers;
+  Duration heartbeat_interval = FleetLeader::kLeastHeartbeatInterval;
   TimePoint last_heartbeat;
   TimePoint last_answer;  ///< When a leader last answered a heartbeat.
   TimePoint last_notices;
--- a/src/relay_daemon/fleet_messages.cc
+++ b/src/relay_daemon/fleet_messages.cc
@@ -140,7 +140,8 @@
                {"epoch", message.epoch},
                {"configuration", message.configuration},
                {"echoed_stamp", message.echoed_stamp},
-               {"echo_held", ToWire(message.echo_held)}};
+               {"echo_held", ToWire(message.echo_held)},
+               {"primaries_version", message.primaries_version}};
   for (const auto& [name, report] : message.databases) {
     json["databases"][name] = ReportJson(report);
   }
@@ -161,6 +162,7 @@
     message.configuration = json.at("configuration").get<std::uint64_t>();
     message.echoed_stamp = json.at("echoed_stamp").get<std::int64_t>();
     message.echo_held = FromWire(json.at("echo_held"));
+    message.primaries_version = json.at("primaries_version").get<std::uint64_t>();
     if (json.contains("databases")) {
       for (const auto& [name, report] : json.at("databases").items()) {
         message.databases.emplace(name, DecodeReport(report));
@@ -176,16 +178,26 @@
   Json json = {{"epoch", answer.epoch},
                {"stamp", answer.stamp},
                {"configuration", answer.configuration},
-               {"servers_version", answer.servers_version}};
-  for (const auto& [name, record] : answer.primaries) {
-    json["primaries"][name] = PrimaryJson(record);
+               {"servers_version", answer.servers_version},
+               {"registered", answer.registered},
+               {"store_in_reach", answer.store_in_reach},
+               {"fleet_size", answer.fleet_size},
+               {"heartbeat_interval", ToWire(answer.heartbeat_interval)},
+               {"primaries_version", answer.primaries_version}};
+  if (answer.primaries) {
+    json["primaries"] = Json::object();
+    for (const auto& [name, record] : *answer.primaries) {
+      json["primaries"][name] = PrimaryJson(record);
+    }
   }
+  // Lists, because each answer holds one of them for each database.
   for (const auto& [name, position] : answer.positions) {
-    json["positions"][name] = {{"generation", position.generation},
-                               {"position", PositionJson(position.position)},
-                               {"age", ToWire(position.age)}};
+    json["positions"][name] = {position.generation, position.position.term, position.position.index,
+                               ToWire(position.age)};
+  }
+  if (!answer.connections.empty()) {
+    json["connections"] = answer.connections;
   }
-  json["connections"] = answer.connections;
   return json.dump();
 }
 
@@ -196,20 +208,27 @@
     answer.stamp = json.at("stamp").get<std::int64_t>();
     answer.configuration = json.at("configuration").get<std::uint64_t>();
     answer.servers_version = json.at("servers_version").get<std::uint64_t>();
+    answer.registered = json.at("registered").get<bool>();
+    answer.store_in_reach = json.at("store_in_reach").get<bool>();
+    answer.fleet_size = json.at("fleet_size").get<std::size_t>();
+    answer.heartbeat_interval = FromWire(json.at("heartbeat_interval"));
+    answer.primaries_version = json.at("primaries_version").get<std::uint64_t>();
     if (json.contains("primaries")) {
+      answer.primaries.emplace();
       for (const auto& [name, record] : json.at("primaries").items()) {
-        answer.primaries.emplace(name, DecodePrimary(record));
+        answer.primaries->emplace(name, DecodePrimary(record));
       }
     }
     if (json.contains("positions")) {
       for (const auto& [name, position] : json.at("positions").items()) {
-        answer.positions.emplace(
-            name,
-            PositionMessage{position.at("generation").get<std::uint64_t>(),
-                            ParsePosition(position.at("position")), FromWire(position.at("age"))});
+        answer.positions.emplace(name,
+                                 PositionMessage{position.at(0).get<std::uint64_t>(),
+                                                 LogPosition{position.at(1).get<std::uint64_t>(),
+                                                             position.at(2).get<std::uint64_t>()},
+                                                 FromWire(position.at(3))});
       }
     }
-    answer.connections = json.at("connections").get<std::map<std::string, int>>();
+    answer.connections = json.value("connections", std::map<std::string, int>());
     return answer;
   });
 }
@@ -271,6 +290,9 @@
   for (const auto& [id, record] : state.servers) {
     json["servers"][id] = ServerJson(record);
   }
+  for (const Endpoint& peer : state.peers) {
+    json["peers"].push_back(EndpointJson(peer));
+  }
   return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
@@ -287,6 +309,11 @@
     for (const auto& [id, record] : json.at("servers").items()) {
       state.servers.emplace(id, DecodeServer(id, record));
     }
+    if (json.contains("peers")) {
+      for (const Json& peer : json.at("peers")) {
+        state.peers.push_back(ParseEndpoint(peer));
+      }
+    }
     return state;
   });
 }
--- a/src/relay_daemon/fleet_messages.h
+++ b/src/relay_daemon/fleet_messages.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "sycamoredrum/clock.h"
 #include "sycamoredrum/primary_authority.h"
@@ -45,6 +46,9 @@
   /// member's times with them.
   std::int64_t echoed_stamp = 0;
   Duration echo_held{};
+  /// Version of the primaries that the member has from the leader of `epoch`; 0: none.
+  std::uint64_t primaries_version = 0;
+  /// Only databases of which the member has something new to say.
   std::map<std::string, DatabaseReportMessage> databases;
   std::set<std::string> unreachable;
   std::map<std::string, double> demand;
@@ -67,8 +71,18 @@
   /// Grows with each change of the leader's records of backend servers; 0: it cannot vouch for
   /// them.
   std::uint64_t servers_version = 0;
-  std::map<std::string, PrimaryRecord> primaries;
+  /// False if the leader does not find the member's registration in the store.
+  bool registered = true;
+  /// True if the leader has heard of the store so lately that the member need not read it itself.
+  bool store_in_reach = false;
+  std::size_t fleet_size = 0;  ///< Registered members.
+  Duration heartbeat_interval = std::chrono::milliseconds(500);
+  /// Version of `primaries`; grows with each change.
+  std::uint64_t primaries_version = 0;
+  /// Primaries that may be used; absent if the member has this version.
+  std::optional<std::map<std::string, PrimaryRecord>> primaries;
   std::map<std::string, PositionMessage> positions;
+  /// Connections that the member may open, by backend server, if they differ from kLeastShare.
   std::map<std::string, int> connections;
 };
 
@@ -110,6 +124,7 @@
   std::string configuration_text;     ///< As the store holds it; empty if it was not asked for.
   std::uint64_t servers_version = 0;  ///< As in HeartbeatAnswer.
   std::map<std::string, BackendServerRecord> servers;
+  std::vector<Endpoint> peers;  ///< Some other members, to be asked when the leader is lost.
 };
 
 std::string ToJson(const SharedState& state);
--- a/src/relay_daemon/fleet_messages_test.cc
+++ b/src/relay_daemon/fleet_messages_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "known_primaries.h"
 #include "sycamoredrum/relay_settings.h"
 
 namespace sycamoredrum {
@@ -24,6 +25,7 @@
   report.answered_age = milliseconds(8);
   report.failing_for = milliseconds(700);
   message.databases["orders"] = report;
+  message.primaries_version = 8;
   message.unreachable = {"s1"};
   message.demand = {{"s2", 1.5}};
   const auto parsed = ParseHeartbeat(ToJson(message));
@@ -35,6 +37,7 @@
   EXPECT_EQ(database.newest, (LogPosition{4, 99}));
   EXPECT_EQ(database.answered_age, Duration(milliseconds(8)));
   EXPECT_EQ(database.failing_for, Duration(milliseconds(700)));
+  EXPECT_EQ(parsed->primaries_version, 8U);
   EXPECT_EQ(parsed->unreachable, message.unreachable);
   EXPECT_EQ(parsed->demand, message.demand);
 }
@@ -45,7 +48,13 @@
   answer.stamp = 5;
   answer.configuration = 3;
   answer.servers_version = 12;
-  answer.primaries["orders"] = PrimaryRecord{"s1", 4, true};
+  answer.registered = false;
+  answer.store_in_reach = true;
+  answer.fleet_size = 295;
+  answer.heartbeat_interval = milliseconds(800);
+  answer.primaries_version = 9;
+  answer.primaries.emplace();
+  (*answer.primaries)["orders"] = PrimaryRecord{"s1", 4, true};
   answer.positions["orders"] = PositionMessage{4, LogPosition{2, 8}, milliseconds(20)};
   answer.connections["s1"] = 6;
   const auto parsed = ParseHeartbeatAnswer(ToJson(answer));
@@ -54,6 +63,14 @@
   EXPECT_EQ(parsed->positions.at("orders").age, Duration(milliseconds(20)));
   EXPECT_EQ(parsed->connections, answer.connections);
   EXPECT_EQ(parsed->servers_version, 12u);
+  EXPECT_FALSE(parsed->registered);
+  EXPECT_TRUE(parsed->store_in_reach);
+  EXPECT_EQ(parsed->fleet_size, 295u);
+  EXPECT_EQ(parsed->heartbeat_interval, Duration(milliseconds(800)));
+  EXPECT_EQ(parsed->primaries_version, 9u);
+  EXPECT_EQ(parsed->positions.at("orders").position, (LogPosition{2, 8}));
+  answer.primaries.reset();
+  EXPECT_FALSE(ParseHeartbeatAnswer(ToJson(answer))->primaries);
 
   SharedState state;
   state.leader = MemberRecord{"m1", "a", "dc", Endpoint{"10.0.0.1", 80}};
@@ -68,14 +85,47 @@
   server.started_at_ms = 1765000000000;
   state.servers["s1"] = server;
   state.servers_version = 12;
+  state.peers = {Endpoint{"10.0.0.3", 82}};
   const auto shared = ParseSharedState(ToJson(state));
   ASSERT_TRUE(shared);
   EXPECT_EQ(shared->servers, state.servers);
   EXPECT_EQ(shared->servers_version, 12u);
+  EXPECT_EQ(shared->peers, state.peers);
   EXPECT_EQ(shared->leader->endpoint, (Endpoint{"10.0.0.1", 80}));
   EXPECT_EQ(shared->configuration_text, state.configuration_text);
 }
 
+// Guards against a member that goes on with primaries which the leader no longer names.
+TEST(KnownPrimariesTest, OnlyAnAnswerOfTheSameVersionRenews) {
+  PrimaryVersions versions;
+  KnownPrimaries known;
+  const std::map<std::string, PrimaryRecord> both = {{"a", {"s1", 1, true}},
+                                                     {"b", {"s2", 1, true}}};
+  const std::map<std::string, PrimaryRecord> one = {{"a", {"s1", 1, true}}};
+  HeartbeatAnswer answer;
+  answer.epoch = 7;
+  answer.primaries_version = versions.VersionOf(both);
+  EXPECT_TRUE(known.Update(answer).empty()) << "nothing was named yet";
+  answer.primaries = both;
+  EXPECT_EQ(known.Update(answer), both);
+  EXPECT_EQ(known.VersionFor(7), answer.primaries_version);
+  EXPECT_EQ(known.VersionFor(8), 0U);
+  const HeartbeatAnswer named = answer;
+  answer.primaries.reset();
+  EXPECT_EQ(versions.VersionOf(both), answer.primaries_version);
+  EXPECT_EQ(known.Update(answer), both);
+  // One database is being handed over.
+  answer.primaries_version = versions.VersionOf(one);
+  EXPECT_TRUE(known.Update(answer).empty());
+  answer.primaries = one;
+  EXPECT_EQ(known.Update(answer), one);
+  EXPECT_TRUE(known.Update(named).empty()) << "an answer that was overtaken";
+  // Another leader counts anew.
+  answer.epoch = 9;
+  answer.primaries.reset();
+  EXPECT_TRUE(known.Update(answer).empty());
+}
+
 TEST(FleetMessagesTest, UnreadableMessagesAreDropped) {
   for (const char* text : {"", "null", "[]", "{}", "{\"member\":3}", "\xff"}) {
     EXPECT_FALSE(ParseHeartbeat(text)) << text;
--- a/src/relay_daemon/fleet_registration.cc
+++ b/src/relay_daemon/fleet_registration.cc
@@ -17,6 +17,7 @@
 // A member is registered before it reads the leader's key: a leader that takes over later finds the
 // registration, and an earlier one is known by the key.
 void FleetMember::Register() {
+  this->registering = true;
   const std::string key = absl::StrCat(kMembersPrefix, this->self.member);
   this->platform.store.list(key, [this, key](PlatformStatus status, const StorePage& page) {
     if (status != PlatformStatus::kOk) {
@@ -29,7 +30,7 @@
         found == page.items.end() ? std::nullopt : ParseMemberRecord(found->value);
     if (known && known->endpoint == this->self.endpoint) {
       // An earlier start of this process registered it, or a write whose answer was lost did.
-      this->Registered();
+      this->Registered(found->revision);
       return;
     }
     this->WriteRegistration(found == page.items.end() ? 0 : found->revision);
@@ -39,9 +40,9 @@
 void FleetMember::WriteRegistration(std::uint64_t revision) {
   const std::string key = absl::StrCat(kMembersPrefix, this->self.member);
   this->platform.store.write(ConditionalWrite{key, revision, ToJson(this->self), 0}, {},
-                             [this](PlatformStatus status, std::uint64_t) {
+                             [this](PlatformStatus status, std::uint64_t written) {
                                if (status == PlatformStatus::kOk) {
-                                 this->Registered();
+                                 this->Registered(written);
                                } else {
                                  this->RetryRegistration();
                                }
@@ -56,31 +57,46 @@
   });
 }
 
-void FleetMember::Registered() {
-  if (std::exchange(this->registered, true)) {
-    return;
-  }
-  this->logger.Info("member_registered", {{"incarnation", this->self.incarnation}});
+void FleetMember::Registered(std::uint64_t revision) {
+  this->registering = false;
+  this->registered_at = this->clock.Now();
+  this->own_revision = revision;
+  this->logger.Info("member_registered", {{"incarnation", this->self.incarnation},
+                                          {"revision", absl::StrCat(revision)}});
   if (!std::exchange(this->mirror_started, true)) {
-    this->mirror.Start();
+    this->leader_mirror.Start();
+    this->members_mirror.Start();
   }
 }
 
-void FleetMember::OnFleetKey(const StoreEvent& event) {
-  const std::string& key = event.item.key;
-  if (key == kLeaderKey) {
-    const std::optional<KeyValue> item =
-        event.removed ? std::nullopt : std::optional<KeyValue>(event.item);
-    if (item) {
-      // Grants of earlier leaders are refused from now on.
-      this->grants.Adopt(item->revision);
-      if (const std::optional<MemberRecord> record = ParseMemberRecord(item->value)) {
-        this->SetLeader(*record, item->revision);
-      }
-    }
-    this->leader_part.LeaderKeyChanged(item);
+// The leader removes the registration of a member that it has not heard of for long.
+void FleetMember::RegisterAgain() {
+  const bool recent =
+      this->registered_at && this->clock.Now() - *this->registered_at < kRegisterAgainInterval;
+  if (!this->registering && !this->leaving && !recent) {
+    this->logger.Warning("registration_missing", {{"member", this->self.member}});
+    this->Register();
+  }
+}
+
+void FleetMember::OnLeaderKey(const StoreEvent& event) {
+  if (event.item.key != kLeaderKey) {
     return;
   }
+  const std::optional<KeyValue> item =
+      event.removed ? std::nullopt : std::optional<KeyValue>(event.item);
+  if (item) {
+    // Grants of earlier leaders are refused from now on.
+    this->grants.Adopt(item->revision);
+    if (const std::optional<MemberRecord> record = ParseMemberRecord(item->value)) {
+      this->SetLeader(*record, item->revision);
+    }
+  }
+  this->leader_part.LeaderKeyChanged(item);
+}
+
+void FleetMember::OnMemberKey(const StoreEvent& event) {
+  const std::string& key = event.item.key;
   if (!absl::StartsWith(key, kMembersPrefix)) {
     return;
   }
@@ -88,16 +104,20 @@
   if (event.removed) {
     this->members.erase(member);
     this->member_revisions.erase(member);
-    if (member == this->self.member && !this->leaving) {
-      this->registered = false;
-      this->Register();
-    }
   } else if (const std::optional<MemberRecord> record = ParseMemberRecord(event.item.value)) {
+    if (this->members.count(member) == 0) {
+      this->links_to_open.insert(member);
+    }
     this->members[member] = *record;
     this->member_revisions[member] = event.item.revision;
   }
-  this->relay.SetFleetSize(this->members.size());
-  this->leader_part.SetMembers(this->member_revisions);
+  // Once for all events of an answer; a part of a list must not look like the whole.
+  if (!std::exchange(this->members_changed, true)) {
+    this->loop.Post([this] {
+      this->members_changed = false;
+      this->leader_part.SetMembers(this->member_revisions);
+    });
+  }
 }
 
 void FleetMember::SetLeader(const MemberRecord& record, std::uint64_t epoch) {
@@ -107,6 +127,7 @@
   this->leader = record;
   this->leader_epoch = epoch;
   this->answer_stamp = 0;
+  this->reported_answers.clear();
   this->heartbeat_wanted = true;
   this->logger.Info("leader_changed", {{"leader", record.member}, {"epoch", absl::StrCat(epoch)}});
   this->SendHeartbeat();
--- a/src/relay_daemon/fleet_simulation_test.cc
+++ b/src/relay_daemon/fleet_simulation_test.cc
@@ -36,6 +36,22 @@
   }
 }
 
+// Load pattern: the callers arrive after a quiet time, or the answers of a primary are so slow that
+// the positions which they bring are too old. Members must know a position all the same; without
+// one, all reads of 300 members go to the primary.
+TEST(FleetSimulationTest, MembersKnowARecentPositionWithoutStatements) {
+  SimulatedFleet fleet(2, 6);
+  fleet.hold_up_messages = false;
+  fleet.Advance(seconds(4));
+  for (int step = 0; step < 100; ++step) {
+    fleet.Advance(milliseconds(50));
+    for (const auto& node : fleet.nodes) {
+      ASSERT_TRUE(node->position_at) << step;
+      EXPECT_LE(fleet.clock.Now() - *node->position_at, milliseconds(1500)) << step;
+    }
+  }
+}
+
 TEST(FleetSimulationTest, ADeadPrimaryIsReplacedWithinTwoSeconds) {
   for (const bool silent : {true, false}) {
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
--- a/src/relay_daemon/relay_daemon.cc
+++ b/src/relay_daemon/relay_daemon.cc
@@ -31,10 +31,13 @@
 constexpr Duration kBalancerDelay = std::chrono::milliseconds(2200);
 // Idle sessions are closed over this time, so that their callers do not all reconnect at once.
 constexpr Duration kIdleCloseSpread = std::chrono::milliseconds(500);
-// Part of the grace after which open transactions are rolled back, and after which the process
-// ends.
+// Part of the grace after which open transactions are rolled back, after which statements that no
+// backend server has are refused, and after which the others are answered with what is known.
 constexpr double kTransactionShareOfGrace = 0.5;
+constexpr double kRefuseShareOfGrace = 0.7;
 constexpr double kEndShareOfGrace = 0.85;
+// Time for the last answers to leave the process.
+constexpr Duration kFlushTime = std::chrono::milliseconds(100);
 
 std::string RandomName() {
   std::random_device device;
@@ -73,9 +76,10 @@
                   this->platform.open_channel,
                   [this](const std::string& database) { this->member.Suspect(database); }},
               this->grants, this->clock, this->loop, this->random, this->logger, this->metrics),
-        member(this->platform, this->MakeMemberRecord(), this->settings.seeds,
-               this->settings.fleet_key, this->MakeMemberHooks(), this->relay, this->grants,
-               this->servers, this->loop, this->clock, this->random, this->logger, this->metrics),
+        member(this->platform, this->MakeMemberRecord(), this->settings.processor_share,
+               this->settings.seeds, this->settings.fleet_key, this->MakeMemberHooks(), this->relay,
+               this->grants, this->servers, this->loop, this->clock, this->random, this->logger,
+               this->metrics),
         configuration_mirror(this->platform.store, this->MakeConfigurationOptions(),
                              this->MakeConfigurationHooks(), this->clock, this->loop, this->random),
         servers_mirror(this->platform.store,
@@ -115,7 +119,8 @@
   void CheckSettings();
   void BeginStop(int signal);
   void ContinueStop();
-  void CloseIdleCallers(std::size_t most);
+  void CloseCallersWhenIdle(std::size_t most);
+  void EndStatements();
   void End();
 
   RelaySettings settings;
@@ -142,6 +147,7 @@
   TimePoint last_settings_check;
   std::optional<TimePoint> stopping_since;
   std::size_t callers_at_stop = 0;
+  std::uint64_t closing_up_to = 0;  ///< Callers up to this number close when they are idle.
   bool was_ready = false;
   bool cut_off = false;
   bool ended = false;
@@ -171,6 +177,10 @@
 StoreMirrorHooks RelayDaemon::State::MakeConfigurationHooks() {
   StoreMirrorHooks hooks;
   hooks.relaxed = [this] { return this->member.HearsLeader(); };
+  hooks.wanted = [this] {
+    return this->member.ReadsStore() || this->relay.Configuration()->version == 0;
+  };
+  hooks.max_retry_delay = [this] { return this->member.MaxStoreRetryDelay(); };
   hooks.changed = [this](const StoreEvent& event) {
     if (event.item.key == this->platform.configuration_key && !event.removed) {
       this->ApplyConfiguration(event.item.value, "store");
@@ -187,6 +197,7 @@
 StoreMirrorHooks RelayDaemon::State::MakeServersHooks() {
   StoreMirrorHooks hooks;
   hooks.relaxed = [this] { return this->member.HasServersOfLeader(); };
+  hooks.max_retry_delay = [this] { return this->member.MaxStoreRetryDelay(); };
   hooks.listed = [this](const std::map<std::string, KeyValue>& items) {
     // The leader may have told of servers that left before this process read their records.
     const auto records = this->servers.Records();
@@ -410,11 +421,15 @@
   this->callers_at_stop = std::max<std::size_t>(this->callers.size(), 1);
   this->logger.Info("stopping", {{"signal", absl::StrCat(signal)},
                                  {"sessions", absl::StrCat(this->callers.size())}});
-  this->member.Leave([] {});
+  this->member.Retire();
 }
 
-// The balancer notices first; then idle sessions are closed, then those that become idle, and last
-// open transactions end.
+// What callers get in each part of the grace:
+// - until the balancer has noticed: as without a stop;
+// - then: each session is closed at the end of its statement or transaction;
+// - from half of the grace: open transactions are rolled back, and their next statement says so;
+// - from kRefuseShareOfGrace: statements that wait are refused, as they did not run;
+// - from kEndShareOfGrace: statements that a server still runs are answered with what is known.
 void RelayDaemon::State::ContinueStop() {
   const Duration elapsed = this->clock.Now() - *this->stopping_since;
   const Duration transactions_until = Share(this->settings.stop_grace, kTransactionShareOfGrace);
@@ -422,10 +437,13 @@
   if (elapsed >= transactions_until) {
     this->relay.AbortTransactions("the proxy stops");
   }
+  if (elapsed >= Share(this->settings.stop_grace, kRefuseShareOfGrace)) {
+    this->relay.StopTaking("the proxy stops");
+  }
   if (elapsed >= idle_from) {
     const auto ticks = static_cast<std::size_t>(kIdleCloseSpread / kTickInterval);
     const bool all = elapsed >= idle_from + kIdleCloseSpread;
-    this->CloseIdleCallers(all ? this->callers.size() : this->callers_at_stop / ticks + 1);
+    this->CloseCallersWhenIdle(all ? this->callers.size() : this->callers_at_stop / ticks + 1);
   }
   if (elapsed >= idle_from + kIdleCloseSpread) {
     this->caller_server.Stop();
@@ -435,26 +453,41 @@
     }
   }
   if (elapsed >= Share(this->settings.stop_grace, kEndShareOfGrace)) {
-    this->End();
+    this->EndStatements();
   }
 }
 
-void RelayDaemon::State::CloseIdleCallers(std::size_t most) {
-  std::vector<std::shared_ptr<CallerConnection>> idle;
-  for (const auto& [number, caller] : this->callers) {
-    if (idle.size() < most && caller->Idle()) {
-      idle.push_back(caller);
-    }
+void RelayDaemon::State::CloseCallersWhenIdle(std::size_t most) {
+  std::vector<std::shared_ptr<CallerConnection>> chosen;
+  for (auto caller = this->callers.upper_bound(this->closing_up_to);
+       caller != this->callers.end() && chosen.size() < most; ++caller) {
+    this->closing_up_to = caller->first;
+    chosen.push_back(caller->second);
   }
-  for (const std::shared_ptr<CallerConnection>& caller : idle) {
+  for (const std::shared_ptr<CallerConnection>& caller : chosen) {
+    caller->CloseWhenIdle();
+  }
+}
+
+void RelayDaemon::State::EndStatements() {
+  if (std::exchange(this->ended, true)) {
+    return;
+  }
+  this->relay.EndStatements("the proxy stops");
+  const auto left = this->callers;
+  for (const auto& [number, caller] : left) {
     caller->Close();
   }
+  this->logger.Info("sessions_ended", {{"sessions", absl::StrCat(left.size())}});
+  this->loop.RunAfter(kFlushTime, [this] { this->End(); });
 }
 
 void RelayDaemon::State::End() {
   this->ended = true;
-  this->logger.Info("stopped", {{"sessions_left", absl::StrCat(this->callers.size())}});
-  this->loop.Stop();
+  this->member.Leave([this] {
+    this->logger.Info("stopped", {{"sessions_left", absl::StrCat(this->callers.size())}});
+    this->loop.Stop();
+  });
 }
 
 RelayDaemon::RelayDaemon(RelaySettings settings, const MakeRelayPlatform& make_platform,
--- a/src/relay_daemon/relay_settings.cc
+++ b/src/relay_daemon/relay_settings.cc
@@ -33,6 +33,7 @@
       {"log-level", "info", "debug, info, warning or error"},
       {"log-format", "text", "text or json"},
       {"max-sessions", "3500", "Callers' sessions at the same time; each takes a descriptor"},
+      {"processor-share", "1", "Part of a core that this VM gives the relay"},
       {"stop-grace", "6s", "Time from SIGTERM to the forced end of the process"},
   };
   return table;
@@ -66,6 +67,7 @@
       "log-format", {{"text", LogFormat::kText}, {"json", LogFormat::kJson}});
   settings.stop_grace =
       reader.Time("stop-grace", std::chrono::milliseconds(500), std::chrono::seconds(600));
+  settings.processor_share = reader.Number("processor-share", 0.01, 1024);
   settings.max_sessions = static_cast<std::size_t>(reader.Number("max-sessions", 1, 1e6));
   CheckConsistency(settings, reader);
   if (!findings.Empty()) {
--- a/src/relay_daemon/simulated_fleet_test.h
+++ b/src/relay_daemon/simulated_fleet_test.h
@@ -41,6 +41,7 @@
   Logger logger;
   Metrics metrics;
   PrimaryGrants grants;
+  KnownPrimaries known_primaries;
   std::unique_ptr<FleetLeader> leader;
   std::unique_ptr<StoreMirror> mirror;
   std::map<std::string, std::uint64_t> members;
@@ -51,6 +52,7 @@
   std::uint64_t answer_epoch = 0;
   std::int64_t answer_stamp = 0;
   TimePoint answer_received;
+  std::optional<TimePoint> position_at;  ///< Time of the newest position that the leader told.
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
@@ -254,7 +256,7 @@
   };
   hooks.nudge = [] {};
   this->leader = std::make_unique<FleetLeader>(
-      this->platform, this->self, hooks, fleet.clock, fleet.clock,
+      this->platform, this->self, Duration::zero(), hooks, fleet.clock, fleet.clock,
       [&fleet] { return fleet.random(); }, this->logger, this->metrics);
   this->leader->SetDatabases({{"db", 21}});
   // A restarted member is still registered.
@@ -301,6 +303,7 @@
   HeartbeatMessage message;
   message.member = this->self.member;
   message.epoch = this->grants.Epoch();
+  message.primaries_version = this->known_primaries.VersionFor(message.epoch);
   if (this->answer_stamp != 0 && this->answer_epoch == message.epoch) {
     message.echoed_stamp = this->answer_stamp;
     message.echo_held = now - this->answer_received;
@@ -321,7 +324,10 @@
   this->answer_epoch = answer.epoch;
   this->answer_stamp = answer.stamp;
   this->answer_received = this->fleet.clock.Now();
-  for (const auto& [name, record] : answer.primaries) {
+  for (const auto& [name, position] : answer.positions) {
+    this->position_at = sent - position.age;
+  }
+  for (const auto& [name, record] : this->known_primaries.Update(answer)) {
     this->grants.Renew(name, PrimaryGrant{record.server, record.generation, answer.epoch,
                                           sent + PrimaryAuthority::kGrantValidity});
   }
--- a/testsuite/relay/relay_test.cc
+++ b/testsuite/relay/relay_test.cc
@@ -39,10 +39,21 @@
 
   /// Answer to a statement, up to its READY line.
   std::string Do(const std::string& text) {
-    this->socket.Send("QUERY q" + std::to_string(this->next++) + " " + text + "\r\n");
-    return this->socket.ReceiveUntil(" -\r\n");
+    this->Send({text});
+    return this->Receive();
   }
 
+  /// Sends all statements at once.
+  void Send(const std::vector<std::string>& statements) {
+    std::string bytes;
+    for (const std::string& text : statements) {
+      bytes += "QUERY q" + std::to_string(this->next++) + " " + text + "\r\n";
+    }
+    this->socket.Send(bytes);
+  }
+
+  std::string Receive() { return this->socket.ReceiveUntil(" -\r\n"); }
+
   std::string greeting;
 
  private:
@@ -288,5 +299,27 @@
   EXPECT_EQ(this->platform.CommitsOf("last"), 1);
 }
 
+// Cause of a broken rule: a caller left its failed transaction late in the stop and sent a
+// statement at once; the process ended before the answer.
+TEST_F(RelayTest, AStatementThatIsSentLateInAStopIsAnswered) {
+  ASSERT_TRUE(this->WriteEventually(0, "a", "before"));
+  Caller caller = this->Open(0, "place");
+  EXPECT_THAT(caller.Do("BEGIN"), HasSubstr("READY T"));
+  EXPECT_THAT(caller.Do("WRITE a lost"), HasSubstr("READY T"));
+  this->platform.SetWorkTime(milliseconds(600));
+  this->relays[0]->process->Signal(SIGTERM);
+  // The grace is 4 s: open transactions end after 2 s, and the process after about 3.5 s.
+  constexpr milliseconds kLateInTheStop(3200);
+  poll(nullptr, 0, static_cast<int>(kLateInTheStop.count()));
+  caller.Send({"ROLLBACK", "READ a"});
+  // Both answers may arrive at once.
+  std::string answers = caller.Receive();
+  answers += caller.Receive();
+  EXPECT_THAT(answers, HasSubstr("DONE -\r\nREADY I -\r\nERR BUSY")) << "not every answer came";
+  EXPECT_THAT(answers, testing::EndsWith("READY I -\r\n"));
+  EXPECT_EQ(this->relays[0]->process->Wait(seconds(6)), 0);
+  EXPECT_EQ(this->platform.CommitsOf("lost"), 0);
+}
+
 }  // namespace
 }  // namespace sycamoredrum
--- a/testsuite/relay/standin_users_platform.cc
+++ b/testsuite/relay/standin_users_platform.cc
@@ -92,6 +92,7 @@
   std::uint64_t revision = 10;
   std::uint64_t next_lease = 1;
   bool down = false;
+  Duration work{};
   std::vector<Instance> instances;
   int primary = 0;
   std::uint64_t term = 1;
@@ -402,7 +403,12 @@
   } else if (word == "READ" || word == "EXEC") {
     answer = absl::StrCat("ROW ", instance.values[words[1]], "\r\n", answer);
   }
-  connection->stream->Send(answer + this->Ready(*connection));
+  const std::string message = answer + this->Ready(*connection);
+  if (this->work <= Duration::zero()) {
+    connection->stream->Send(message);
+    return;
+  }
+  this->loop.RunAfter(this->work, [connection, message] { connection->stream->Send(message); });
 }
 
 StandinUsersPlatform::StandinUsersPlatform(int instance_count) : state(std::make_unique<State>()) {
@@ -464,6 +470,13 @@
   });
 }
 
+void StandinUsersPlatform::SetWorkTime(Duration work) {
+  this->state->Run<bool>([this, work] {
+    this->state->work = work;
+    return true;
+  });
+}
+
 void StandinUsersPlatform::SetStoreDown(bool down) {
   this->state->Run<bool>([this, down] {
     this->state->down = down;
--- a/testsuite/relay/standin_users_platform.h
+++ b/testsuite/relay/standin_users_platform.h
@@ -33,6 +33,8 @@
   void KillInstance(int number);
   /// The instance says that it is about to stop.
   void DrainInstance(int number);
+  /// Time that each statement takes at every instance.
+  void SetWorkTime(Duration work);
   /// The store refuses all calls.
   void SetStoreDown(bool down);
 
