--- a/src/include/sycamoredrum/byte_stream.h
+++ b/src/include/sycamoredrum/byte_stream.h
@@ -14,6 +14,9 @@
 
 namespace sycamoredrum {
 
+/// Start of the reason with which a stream ends whose `received` hook threw an exception.
+inline constexpr const char* kUnexpectedError = "unexpected error: ";
+
 struct ByteStreamOptions {
   /// Unsent bytes above this end the stream: the other side does not read.
   std::size_t max_unsent_bytes = std::size_t{4} * 1024 * 1024;
@@ -26,7 +29,7 @@
 /// not after Close.
 struct ByteStreamHooks {
   std::function<void()> connected;  ///< Only for streams made by ConnectByteStream.
-  /// The bytes are only valid during the call.
+  /// The bytes are only valid during the call. An exception ends the stream, and only the stream.
   std::function<void(std::string_view bytes)> received;
   /// The stream ended, or could not be connected. Called once.
   std::function<void(const std::string& reason)> closed;
--- a/src/include/sycamoredrum/relay_platform.h
+++ b/src/include/sycamoredrum/relay_platform.h
@@ -53,9 +53,11 @@
       decode_configuration;
   std::function<std::optional<BackendServerRecord>(const KeyValue& item, std::string& reason)>
       decode_server;
-  /// Serves a caller's connection. `closed` runs when the caller or the session ended it.
-  std::function<std::shared_ptr<CallerConnection>(std::shared_ptr<ByteStream>, OpenCallerSession,
-                                                  std::function<void()> closed)>
+  /// Serves a caller's connection. `closed` runs when the caller or the session ended it;
+  /// `reason` is empty if the relay closed it.
+  std::function<std::shared_ptr<CallerConnection>(
+      std::shared_ptr<ByteStream>, OpenCallerSession,
+      std::function<void(const std::string& reason)> closed)>
       serve_caller;
 };
 
--- a/src/net/byte_stream.cc
+++ b/src/net/byte_stream.cc
@@ -1,11 +1,13 @@
 #include "sycamoredrum/byte_stream.h"
 
+#include <absl/strings/str_cat.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <exception>
 #include <utility>
 
 #include "event_loop_impl.h"
@@ -164,7 +166,12 @@
     if (this->hooks.received) {
       // The hook may close the stream and so destroy itself.
       const auto received = this->hooks.received;
-      received(std::string_view(buffer.data(), size));
+      try {
+        received(std::string_view(buffer.data(), size));
+      } catch (const std::exception& unexpected) {
+        // What one peer sent must not end the others' streams.
+        this->Fail(absl::StrCat(kUnexpectedError, unexpected.what()));
+      }
     }
     if (!this->closed) {
       this->WaitToRead();
--- /dev/null
+++ b/src/net/byte_stream_test.cc
@@ -0,0 +1,53 @@
+#include "sycamoredrum/byte_stream.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <future>
+#include <memory>
+#include <stdexcept>
+#include <string>
+
+#include "raw_socket.h"
+
+namespace sycamoredrum {
+namespace {
+
+// Guards against one malformed message that takes the whole process down.
+TEST(ByteStreamTest, AnUnexpectedErrorEndsOnlyTheStreamThatCausedIt) {
+  EventLoop loop(1);
+  std::promise<std::string> ended;
+  ByteStreamServer server(loop, ByteStreamOptions{}, [&ended](std::shared_ptr<ByteStream> stream) {
+    ByteStreamHooks hooks;
+    hooks.received = [stream](std::string_view bytes) {
+      if (bytes == "bad") {
+        throw std::out_of_range("no such field");
+      }
+      stream->Send(bytes);
+    };
+    hooks.closed = [&ended](const std::string& reason) {
+      if (reason.rfind(kUnexpectedError, 0) == 0) {
+        ended.set_value(reason);
+      }
+    };
+    stream->SetHooks(std::move(hooks));
+  });
+  const auto port = server.Listen(Endpoint{"127.0.0.1", 0});
+  ASSERT_TRUE(port);
+  server.Accept();
+  const RawSocket good = RawSocket::ConnectTo(*port);
+  const RawSocket bad = RawSocket::ConnectTo(*port);
+  good.Send("one");
+  EXPECT_EQ(good.ReceiveUntil("one"), "one");
+  bad.Send("bad");
+  EXPECT_EQ(bad.ReceiveUntil("nothing comes"), "");
+  EXPECT_THAT(ended.get_future().get(), testing::HasSubstr("no such field"));
+  good.Send("two");
+  EXPECT_EQ(good.ReceiveUntil("two"), "two");
+  server.Stop();
+  loop.Stop();
+  loop.Join();
+}
+
+}  // namespace
+}  // namespace sycamoredrum
--- a/src/relay_daemon/fleet_member.h
+++ b/src/relay_daemon/fleet_member.h
@@ -90,6 +90,12 @@
   Duration MaxStoreRetryDelay() const;
   /// True unless the leader reads the store for this member as well.
   bool ReadsStore() const;
+  /// True if the store answered before and does not now. One mirror goes on asking for it; the
+  /// others wait.
+  /// Load pattern: 300 processes with three mirrors each ask for a store that is down.
+  bool StoreIsAway() const {
+    return this->leader_mirror.Synchronized() && !this->leader_mirror.Reachable();
+  }
   /// The process is about to stop: it gives the leadership up, but keeps its grants for the work
   /// that is left.
   void Retire();
--- a/src/relay_daemon/relay_daemon.cc
+++ b/src/relay_daemon/relay_daemon.cc
@@ -1,5 +1,6 @@
 #include "sycamoredrum/relay_daemon.h"
 
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -168,8 +169,8 @@
   };
   hooks.needs_servers = [this] {
     const Duration age = this->clock.Now() - this->servers_mirror.LastSuccess();
-    return !this->servers_mirror.Synchronized() ||
-           (!this->servers_mirror.Reachable() && age > kServersStaleAfter);
+    const bool away = !this->servers_mirror.Reachable() || this->member.StoreIsAway();
+    return !this->servers_mirror.Synchronized() || (away && age > kServersStaleAfter);
   };
   return hooks;
 }
@@ -178,7 +179,8 @@
   StoreMirrorHooks hooks;
   hooks.relaxed = [this] { return this->member.HearsLeader(); };
   hooks.wanted = [this] {
-    return this->member.ReadsStore() || this->relay.Configuration()->version == 0;
+    return !this->member.StoreIsAway() &&
+           (this->member.ReadsStore() || this->relay.Configuration()->version == 0);
   };
   hooks.max_retry_delay = [this] { return this->member.MaxStoreRetryDelay(); };
   hooks.changed = [this](const StoreEvent& event) {
@@ -197,6 +199,7 @@
 StoreMirrorHooks RelayDaemon::State::MakeServersHooks() {
   StoreMirrorHooks hooks;
   hooks.relaxed = [this] { return this->member.HasServersOfLeader(); };
+  hooks.wanted = [this] { return !this->member.StoreIsAway(); };
   hooks.max_retry_delay = [this] { return this->member.MaxStoreRetryDelay(); };
   hooks.listed = [this](const std::map<std::string, KeyValue>& items) {
     // The leader may have told of servers that left before this process read their records.
@@ -352,7 +355,10 @@
         }
         return session;
       },
-      [this, number] {
+      [this, number](const std::string& reason) {
+        if (absl::StartsWith(reason, kUnexpectedError)) {
+          this->logger.Error("caller_closed", {{"reason", reason}});
+        }
         // The connection may be on the stack.
         this->loop.Post([this, number] { this->callers.erase(number); });
       });
