Leave configuration and records to the leader of a large fleet from the start

Cause: each of 295 processes watched the records of the servers for its first 3 s, and all read everything at the moment when a leader was lost.

--- a/src/relay_daemon/fleet_exchange.cc
+++ b/src/relay_daemon/fleet_exchange.cc
@@ -32,10 +32,20 @@
   return this->servers_reply.text;
 }
 
+bool FleetMember::MayRequestServers() const {
+  const TimePoint now = this->clock.Now();
+  const bool large = this->fleet_size > kMostWatchers;
+  const Duration own_records =
+      large ? kOwnRecordsInLargeFleet + this->start_spread : kOwnRecordsAfterStart;
+  return now - this->started > own_records &&
+         (!large || now - this->last_servers_request > kServersInterval);
+}
+
 void FleetMember::RequestServers(std::uint64_t epoch) {
   if (std::exchange(this->servers_under_way, true)) {
     return;
   }
+  this->last_servers_request = this->clock.Now();
   this->LinkTo(this->leader->endpoint)
       .Call("servers", "null", kRequestTimeout, [this, epoch](const PeerAnswer& reply) {
         this->servers_under_way = false;
--- a/src/relay_daemon/fleet_member.cc
+++ b/src/relay_daemon/fleet_member.cc
@@ -27,6 +27,10 @@
   return options;
 }
 
+Duration RandomPart(Duration whole, const RandomSource& random) {
+  return Duration(static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(whole.count())));
+}
+
 // Load pattern: a leader on 0.12 of a core and 300 members; its heartbeats time out.
 Duration CandidateDelay(double processor_share) {
   return processor_share < FleetMember::kLeaderProcessorShare ? FleetMember::kSmallCandidateDelay
@@ -67,6 +71,8 @@
                      random),
       peer_server(loop, this->identity, PeerOptions{}, this->MakeHandlers()),
       started(clock.Now()),
+      leader_in_touch(clock.Now()),
+      start_spread(RandomPart(kOwnRecordsInLargeFleet, random)),
       last_heartbeat(clock.Now()),
       last_answer(clock.Now()),
       last_notices(clock.Now()),
@@ -133,7 +139,7 @@
     this->leader_part.Start();
   };
   result.relaxed = [this] { return this->HearsLeader(); };
-  result.wanted = [this] { return this->ReadsStore(); };
+  result.wanted = [this] { return !this->LeaderReadsStore(); };
   result.max_retry_delay = [this] { return this->MaxStoreRetryDelay(); };
   result.reachable = [this](bool reachable) {
     this->logger.Info(reachable ? "store_regained" : "store_lost", {{"keys", kLeaderKey}});
@@ -155,8 +161,14 @@
                             kRetryDelayPerMember * static_cast<std::int64_t>(this->fleet_size));
 }
 
+bool FleetMember::LeaderReadsStore() const {
+  return this->fleet_size > kMostWatchers && this->store_in_reach && this->HearsLeader();
+}
+
 bool FleetMember::ReadsStore() const {
-  return this->fleet_size <= kMostWatchers || !this->store_in_reach || !this->HearsLeader();
+  const bool large = this->fleet_size == 0 || this->fleet_size > kMostWatchers;
+  return !large || this->leader_part.Leading() ||
+         this->clock.Now() - this->leader_in_touch > kNextLeaderPatience;
 }
 
 bool FleetMember::Start() {
@@ -329,6 +341,9 @@
   const TimePoint now = this->clock.Now();
   this->last_answer = now;
   this->store_in_reach = answer.store_in_reach;
+  if (answer.store_in_reach) {
+    this->leader_in_touch = now;
+  }
   this->fleet_size = std::max<std::size_t>(answer.fleet_size, 1);
   this->relay.SetFleetSize(this->fleet_size);
   this->answer_epoch = answer.epoch;
@@ -356,7 +371,7 @@
   const bool current =
       this->servers_epoch == answer.epoch && this->servers_version == answer.servers_version;
   if (answer.servers_version != 0 && !current && this->leader &&
-      this->leader->member != this->self.member && now - this->started > kOwnRecordsAfterStart) {
+      this->leader->member != this->self.member && this->MayRequestServers()) {
     this->RequestServers(answer.epoch);
   }
 }
--- a/src/relay_daemon/fleet_member.h
+++ b/src/relay_daemon/fleet_member.h
@@ -48,6 +48,11 @@
   /// Members of a larger fleet leave the store to the leader while that one is in touch with it.
   /// Two pending watches of each member cost one call a second at this size.
   static constexpr std::size_t kMostWatchers = 24;
+  /// Members of a large fleet wait this long for another leader before they read the store
+  /// themselves. With the time in which the leader's last word counts, it stays below the least
+  /// time in which a configuration must be in force on large fleets, 6 s. Load pattern: the leader
+  /// is lost, and 300 members read all records at the same moment.
+  static constexpr Duration kNextLeaderPatience = std::chrono::milliseconds(1500);
   /// Longest pause after a failed call to the store for each member of the fleet, so that the calls
   /// of a fleet in an outage stay at about a hundred a second for each key.
   static constexpr Duration kRetryDelayPerMember = std::chrono::milliseconds(8);
@@ -67,9 +72,15 @@
   static constexpr Duration kSmallCandidateDelay = std::chrono::milliseconds(250);
   /// Members that one member is told of, for the time when it has lost the leader.
   static constexpr std::size_t kPeersTold = 8;
-  /// A process that has just started reads the records of the backend servers itself for this time.
-  /// After a common restart the leader has more urgent work than to send them to everyone.
+  /// A process that has just started uses the records of the backend servers that it has read
+  /// itself for this time. After a common restart the leader has more urgent work than to send them
+  /// to everyone.
   static constexpr Duration kOwnRecordsAfterStart = std::chrono::seconds(3);
+  /// The same in a large fleet, where reading them again costs more than asking the leader; part of
+  /// it is random.
+  static constexpr Duration kOwnRecordsInLargeFleet = std::chrono::seconds(1);
+  /// Least time between two questions of a member for the records of the backend servers.
+  static constexpr Duration kServersInterval = std::chrono::seconds(1);
   /// A leader tells members that it does not hear of its leadership in these intervals.
   static constexpr Duration kNoticeInterval = std::chrono::milliseconds(500);
   /// Least time between heartbeats that are sent because something happened.
@@ -90,7 +101,8 @@
   void Tick();
   /// Longest pause of a member's mirrors after failed calls to the store.
   Duration MaxStoreRetryDelay() const;
-  /// True unless the leader reads the store for this member as well.
+  /// True unless the leader reads the configuration and the servers' records for this member as
+  /// well, or another leader is likely to do so in a moment.
   bool ReadsStore() const;
   /// True if the store answered before and does not now. One mirror goes on asking for it; the
   /// others wait.
@@ -132,6 +144,9 @@
 
   std::map<std::string, PeerHandler> MakeHandlers();
   const std::string& MakeServersReply();
+  /// True if the leader of a large fleet is heard and in touch with the store.
+  bool LeaderReadsStore() const;
+  bool MayRequestServers() const;
   StoreMirrorHooks MakeLeaderHooks();
   StoreMirrorHooks MakeMembersHooks();
   std::vector<Endpoint> SomePeers();
@@ -199,12 +214,15 @@
   std::uint64_t own_revision = 0;  ///< Of this member's registration.
   std::optional<TimePoint> registered_at;
   bool registering = false;
+  TimePoint leader_in_touch;  ///< When a leader last said that the store is in its reach.
+  TimePoint last_servers_request;
+  Duration start_spread{};               ///< Random part of kOwnRecordsInLargeFleet.
   std::uint64_t registration_round = 0;  ///< Answers to looks of earlier rounds are ignored.
   std::size_t looks_under_way = 0;
   Duration look_patience{};
   bool mirror_started = false;
   bool store_in_reach = false;  ///< As the leader's last answer says.
-  std::size_t fleet_size = 1;
+  std::size_t fleet_size = 0;   ///< As a leader last told; 0: not known yet.
   bool leaving = false;
   bool left = false;
   bool members_changed = false;
--- a/src/relay_daemon/relay_daemon.cc
+++ b/src/relay_daemon/relay_daemon.cc
@@ -203,7 +203,10 @@
 StoreMirrorHooks RelayDaemon::State::MakeServersHooks() {
   StoreMirrorHooks hooks;
   hooks.relaxed = [this] { return this->member.HasServersOfLeader(); };
-  hooks.wanted = [this] { return !this->member.StoreIsAway(); };
+  hooks.wanted = [this] {
+    return !this->member.StoreIsAway() &&
+           (this->member.ReadsStore() || !this->servers_mirror.Synchronized());
+  };
   hooks.max_retry_delay = [this] { return this->member.MaxStoreRetryDelay(); };
   hooks.listed = [this](const std::map<std::string, KeyValue>& items) {
     // The leader may have told of servers that left before this process read their records.
