Use the positions in refusals of a busy primary; let reads wait for a busy moment

Patterns: an overloaded primary answers after a second, so its answers bring positions that are too old for reads at replicas, while its refusals come at once; and reads used up their six attempts on busy servers within a tenth of a second. Reads avoid a busy server for 50 ms and a lagging one for 100 ms (250 ms before), and these tries are not counted while the statement may still wait. Two tests replay the patterns and fail without the change.

--- a/src/include/sycamoredrum/session_relay.h
+++ b/src/include/sycamoredrum/session_relay.h
@@ -73,8 +73,12 @@
   static constexpr Duration kSilenceToAvoid = std::chrono::milliseconds(300);
   /// Reads that wait at a server without any answer for this long are repeated elsewhere.
   static constexpr Duration kSilenceToRepeat = std::chrono::milliseconds(600);
-  /// A replica that lacked a position is not asked again for this time.
-  static constexpr Duration kBehindPause = std::chrono::milliseconds(250);
+  /// A replica that lacked a position is not asked again for this time, about the usual lag.
+  /// Load pattern: replicas are a moment behind, and a longer pause sends all reads to the primary.
+  static constexpr Duration kBehindPause = std::chrono::milliseconds(100);
+  /// A server that had no capacity for a statement gets no reads for this time, in which it empties
+  /// a part of its queue.
+  static constexpr Duration kBusyPause = std::chrono::milliseconds(50);
   /// A server that could not be reached is not asked again for this time.
   static constexpr Duration kUnreachablePause = std::chrono::milliseconds(500);
   /// Connections that a process opens to a backend server before it knows its share.
--- a/src/relay/caller_session.h
+++ b/src/relay/caller_session.h
@@ -94,8 +94,10 @@
   void Send();
   void OnResult(const std::optional<StatementResult>& result);
   void OnConnectionLost();
-  void OnRefusedByServer(const StatementError& error);
+  void OnRefusedByServer(const StatementResult& refusal);
   void OnAnswer(const StatementResult& result);
+  /// How long the present statement may wait before it is sent.
+  Duration MaxWait() const;
   bool RepeatFailedRead(const StatementResult& answer);
 
   void RetryLater(Duration delay, const std::string& reason);
@@ -108,6 +110,7 @@
   void FailTransaction();
   void Release(ConnectionState state);
   void RollBackAndRelease();
+  void LogBehind(const RelayServer& server, const StatementResult& refusal) const;
   void LogOutcome(const StatementResult& result) const;
 
   BackendSession* Connection();
--- a/src/relay/caller_session_dispatch.cc
+++ b/src/relay/caller_session_dispatch.cc
@@ -75,6 +75,10 @@
       this->relay.PlaceReadOn(this->route.database, this->attempt->tried);
   if (!server) {
     this->attempt->tried.clear();
+    if (this->Now() < this->attempt->arrived + this->MaxWait()) {
+      // A server that is busy or a moment behind is worth the wait.
+      --this->attempt->tries;
+    }
     this->RetryLater(kBusyRetryDelay, "no server is usable");
     return;
   }
@@ -113,6 +117,10 @@
   this->relay.databases[this->route.database].waiting.push_back(this->weak_from_this());
 }
 
+Duration RelayCallerSession::MaxWait() const {
+  return Share(this->route.latency_objective, SessionRelay::kMaxWaitShare);
+}
+
 void RelayCallerSession::Acquire(const std::string& server_id, std::optional<PrimaryGrant> grant) {
   RelayServer* server = this->relay.FindServer(server_id);
   const TimePoint now = this->Now();
@@ -122,10 +130,9 @@
                      "the primary is unreachable");
     return;
   }
-  const Duration objective = this->route.latency_objective;
   const TimePoint wait_until =
-      std::max(this->attempt->arrived + Share(objective, SessionRelay::kMaxWaitShare),
-               now + Share(objective, kWaitShareAfterFailover));
+      std::max(this->attempt->arrived + this->MaxWait(),
+               now + Share(this->route.latency_objective, kWaitShareAfterFailover));
   LeaseRequest request;
   request.caller_group = this->route_name;
   request.weight = QueueWeight(this->route.priority);
@@ -300,7 +307,7 @@
           self->held->began = true;
           self->Send();
         } else if (result && GuaranteesNotRun(result->error->code)) {
-          self->OnRefusedByServer(*result->error);
+          self->OnRefusedByServer(*result);
         } else {
           self->OnConnectionLost();
         }
--- a/src/relay/caller_session_result.cc
+++ b/src/relay/caller_session_result.cc
@@ -11,7 +11,7 @@
   if (!result) {
     this->OnConnectionLost();
   } else if (result->error && GuaranteesNotRun(result->error->code)) {
-    this->OnRefusedByServer(*result->error);
+    this->OnRefusedByServer(*result);
   } else {
     this->OnAnswer(*result);
   }
@@ -46,15 +46,24 @@
 }
 
 // The server guarantees that the statement, or the start of its transaction, did not run.
-void RelayCallerSession::OnRefusedByServer(const StatementError& error) {
+void RelayCallerSession::OnRefusedByServer(const StatementResult& refusal) {
+  const StatementError& error = *refusal.error;
   RelayServer* server = this->relay.FindServer(this->held->server);
   const bool as_primary = this->held->grant.has_value();
   const bool began = this->held->began;
+  if (as_primary && this->attempt->sent && error.code == StatementErrorCode::kBusy &&
+      refusal.position &&
+      this->relay.grants.StillValid(this->route.database, this->held->grant->generation)) {
+    // A refusal comes at once, while answers of an overloaded primary bring old positions.
+    this->relay.Observe(this->route.database, this->held->grant->generation,
+                        PositionObservation{*refusal.position, this->attempt->sent_at});
+  }
   this->attempt->sent = false;
   Duration delay = Duration::zero();
   switch (error.code) {
     case StatementErrorCode::kBehind:
       if (server != nullptr) {
+        this->LogBehind(*server, refusal);
         server->behind_until = this->Now() + SessionRelay::kBehindPause;
       }
       delay = as_primary ? kPrimaryRetryDelay : Duration::zero();
@@ -68,6 +77,17 @@
         connection->ForgetPrepared(this->profile, this->attempt->statement);
       }
       break;
+    case StatementErrorCode::kBusy:
+      if (server != nullptr) {
+        server->busy_until = this->Now() + SessionRelay::kBusyPause;
+      }
+      if (!began && !this->attempt->needs_primary &&
+          this->Now() < this->attempt->arrived + this->MaxWait()) {
+        // The pauses of the servers bound the tries.
+        --this->attempt->tries;
+      }
+      delay = as_primary ? kBusyRetryDelay : Duration::zero();
+      break;
     default:
       delay = as_primary ? kBusyRetryDelay : Duration::zero();
       break;
@@ -98,6 +118,21 @@
       delay, absl::StrCat(std::string(ToString(error.code)), " from ", this->attempt->server));
 }
 
+// Only the first of a series: a replica that lags refuses each read.
+void RelayCallerSession::LogBehind(const RelayServer& server,
+                                   const StatementResult& refusal) const {
+  if (this->Now() - server.behind_until < SessionRelay::kBehindPause) {
+    return;
+  }
+  const std::optional<LogPosition> required = this->RequiredPosition();
+  this->relay.logger.Info(
+      "server_behind", {{"id", this->attempt->statement.id},
+                        {"server", server.record.id},
+                        {"database", this->route.database},
+                        {"required", required ? required->ToString() : "none"},
+                        {"position", refusal.position ? refusal.position->ToString() : "unknown"}});
+}
+
 // A read leaves nothing behind, so another server may answer it.
 bool RelayCallerSession::RepeatFailedRead(const StatementResult& answer) {
   const bool failed = answer.error && answer.error->code == StatementErrorCode::kFailed;
--- a/src/relay/relay_state.h
+++ b/src/relay/relay_state.h
@@ -28,6 +28,7 @@
   TimePoint answered_at;        ///< When it last answered a statement or opened a connection.
   TimePoint waiting_since;      ///< Start of the present silence; only while outstanding > 0.
   TimePoint behind_until;       ///< It lacked a required position.
+  TimePoint busy_until;         ///< It had no capacity for a statement.
   TimePoint unreachable_until;
   std::optional<TimePoint> failing_since;  ///< No answer since then, though it was asked.
   double demand = 0;                       ///< Moving average of the statements that run or wait.
--- a/src/relay/session_relay.cc
+++ b/src/relay/session_relay.cc
@@ -80,6 +80,7 @@
   server->answered_at = this->clock.Now();
   server->waiting_since = this->clock.Now();
   server->behind_until = this->clock.Now();
+  server->busy_until = this->clock.Now();
   server->unreachable_until = this->clock.Now();
   ConnectionPoolHooks pool_hooks;
   pool_hooks.open = [this, id = record.id](const OpenCallback& done) {
@@ -194,8 +195,8 @@
     candidate.outstanding = server->pool->Leased() + server->pool->Waiting();
     candidate.primary = grant && grant->server == id;
     candidate.usable = server->record.state == BackendServerState::kReady && tried.count(id) == 0 &&
-                       server->behind_until <= now && server->unreachable_until <= now &&
-                       !this->Silent(*server, kSilenceToAvoid);
+                       server->behind_until <= now && server->busy_until <= now &&
+                       server->unreachable_until <= now && !this->Silent(*server, kSilenceToAvoid);
     candidates.push_back(std::move(candidate));
     constexpr double kRandomRange = 1024.0;
     jitter.push_back(static_cast<double>(this->random() % 1024) / kRandomRange);
--- a/src/relay/session_relay_load_test.cc
+++ b/src/relay/session_relay_load_test.cc
@@ -75,6 +75,32 @@
   EXPECT_LE(at_primary, kReaders / 3);
 }
 
+// Load pattern: a primary takes a second for each statement, so the positions that its answers
+// bring are too old for reads at replicas, and all reads keep it overloaded. Its refusals come at
+// once.
+TEST_F(SessionRelayTest, ARefusalOfABusyPrimaryTellsItsPosition) {
+  TestCaller& writer = this->Open("place");
+  this->Do(writer, Make(StatementKind::kWrite, "first"));
+  this->Advance(seconds(3));
+  this->database.At(0).busy_answers = 1;
+  const TimePoint sent = this->clock.Now();
+  writer.session->Handle(Make(StatementKind::kWrite, "refused"));
+  this->Advance(milliseconds(10));
+  ASSERT_TRUE(writer.results.size() == 1U) << "it is tried again";
+  EXPECT_EQ(this->relay->NewestPosition("orders", 1)->as_of, sent);
+}
+
+// Load pattern: all servers of a database are busy for a moment. A read that is sent again and
+// again has used up its attempts before one of them is free.
+TEST_F(SessionRelayTest, AReadWaitsForABusyMomentToPass) {
+  TestCaller& reader = this->Open("stock");
+  this->Do(reader, Make(StatementKind::kRead, "warm"));
+  for (int i = 0; i < 3; ++i) {
+    this->database.At(i).busy_answers = 6;
+  }
+  EXPECT_FALSE(this->Do(reader, Make(StatementKind::kRead, "r")).error);
+}
+
 // Load pattern: the leader is gone and tells no positions any more, and the primary is slow. Reads
 // that asked it for its position by running there kept it slow.
 TEST_F(SessionRelayTest, ReadsAskASlowPrimaryForItsPositionOnly) {
