--- a/testsuite/relay/relay_test.cc
+++ b/testsuite/relay/relay_test.cc
@@ -321,5 +321,23 @@
   EXPECT_EQ(this->platform.CommitsOf("lost"), 0);
 }
 
+// Guards against a promotion while a relay that stops still uses the primary: the leader waits only
+// for registered members.
+TEST_F(RelayTest, ARelayStaysRegisteredUntilItsLastTransactionHasEnded) {
+  const std::string key = "sycamoredrum/members/r1";
+  Caller caller = this->Open(0, "place");
+  EXPECT_THAT(caller.Do("BEGIN"), HasSubstr("READY T"));
+  EXPECT_THAT(caller.Do("WRITE a last"), HasSubstr("READY T"));
+  ASSERT_TRUE(this->platform.HasKey(key));
+  this->relays[0]->process->Signal(SIGTERM);
+  EXPECT_TRUE(Eventually([this] { return !this->relays[0]->Ready(); }));
+  constexpr milliseconds kWhileTheTransactionIsOpen(500);
+  poll(nullptr, 0, static_cast<int>(kWhileTheTransactionIsOpen.count()));
+  EXPECT_TRUE(this->platform.HasKey(key));
+  EXPECT_THAT(caller.Do("COMMIT"), HasSubstr("DONE proof-i-0"));
+  EXPECT_EQ(this->relays[0]->process->Wait(seconds(6)), 0);
+  EXPECT_FALSE(this->platform.HasKey(key));
+}
+
 }  // namespace
 }  // namespace sycamoredrum
--- a/testsuite/relay/standin_users_platform.cc
+++ b/testsuite/relay/standin_users_platform.cc
@@ -484,6 +484,10 @@
   });
 }
 
+bool StandinUsersPlatform::HasKey(const std::string& key) {
+  return this->state->Run<bool>([this, key] { return this->state->items.count(key) != 0; });
+}
+
 int StandinUsersPlatform::Primary() {
   return this->state->Run<int>([this] { return this->state->primary; });
 }
--- a/testsuite/relay/standin_users_platform.h
+++ b/testsuite/relay/standin_users_platform.h
@@ -38,6 +38,8 @@
   /// The store refuses all calls.
   void SetStoreDown(bool down);
 
+  /// True if the store holds the key.
+  bool HasKey(const std::string& key);
   int Primary();
   int Promotions();
   /// Value of an item at an instance; nothing if it was never written there.
