Repair two tests for the AddressSanitizer build

net_stream_test kept its streams alive by its own hooks (400 bytes leaked), and GCC took an optional map of fleet_messages_test for uninitialized. No check is changed.

--- a/src/net/byte_stream_test.cc
+++ b/src/net/byte_stream_test.cc
@@ -19,11 +19,14 @@
   std::promise<std::string> ended;
   ByteStreamServer server(loop, ByteStreamOptions{}, [&ended](std::shared_ptr<ByteStream> stream) {
     ByteStreamHooks hooks;
-    hooks.received = [stream](std::string_view bytes) {
+    // The hooks are kept by the stream.
+    hooks.received = [weak = std::weak_ptr<ByteStream>(stream)](std::string_view bytes) {
       if (bytes == "bad") {
         throw std::out_of_range("no such field");
       }
-      stream->Send(bytes);
+      if (const auto open = weak.lock()) {
+        open->Send(bytes);
+      }
     };
     hooks.closed = [&ended](const std::string& reason) {
       if (reason.rfind(kUnexpectedError, 0) == 0) {
--- a/src/relay_daemon/fleet_messages_test.cc
+++ b/src/relay_daemon/fleet_messages_test.cc
@@ -53,8 +53,8 @@
   answer.fleet_size = 295;
   answer.heartbeat_interval = milliseconds(800);
   answer.primaries_version = 9;
-  answer.primaries.emplace();
-  (*answer.primaries)["orders"] = PrimaryRecord{"s1", 4, true};
+  const std::map<std::string, PrimaryRecord> primaries = {{"orders", PrimaryRecord{"s1", 4, true}}};
+  answer.primaries = primaries;
   answer.positions["orders"] = PositionMessage{4, LogPosition{2, 8}, milliseconds(20)};
   answer.connections["s1"] = 6;
   const auto parsed = ParseHeartbeatAnswer(ToJson(answer));
