Log when the store's revision decreases, and expose its era

Cause: the logs could not tell whether a relay dropped a configuration after the store had returned from an older copy, refused its version, or never read it. Change: StoreMirror reports a list whose revision is below that of its copy; the relay logs store_revision_decreased. No decision changed. Ruled out: a refused version (no event arrives), a watch that hides the change (each relay lists the key).

--- a/src/include/sycamoredrum/metrics.h
+++ b/src/include/sycamoredrum/metrics.h
@@ -44,6 +44,7 @@
   kStatementSeconds,
   kCallerSessions,
   kLeadership,
+  kStoreEra,
 };
 
 /// Definition of a metric for its exposition and the documentation.
--- a/src/include/sycamoredrum/store_mirror.h
+++ b/src/include/sycamoredrum/store_mirror.h
@@ -45,6 +45,10 @@
   /// Optional. Upper bound of the retry delay, instead of kMaxRetryDelay. A large fleet, for
   /// example of 300 processes, needs a longer one to limit the retries while the store is down.
   std::function<Duration()> max_retry_delay = nullptr;
+  /// Optional. A list has an earlier revision than the copy. `ignored` keys of it have an earlier
+  /// revision than in the copy and are not taken over.
+  std::function<void(std::uint64_t copy, std::uint64_t list, std::size_t ignored)>
+      revision_decreased = nullptr;
 };
 
 /// Local copy of all keys with a prefix, kept up to date by list and watch. Not thread-safe.
--- a/src/leader/store_mirror.cc
+++ b/src/leader/store_mirror.cc
@@ -61,6 +61,15 @@
   }
   this->last_settled_list = this->list_number;
   this->Succeeded();
+  if (page.revision < this->revision && this->hooks.revision_decreased) {
+    const auto ignored =
+        std::count_if(page.items.begin(), page.items.end(), [this](const KeyValue& item) {
+          const auto known = this->items.find(item.key);
+          return known != this->items.end() && item.revision < known->second.revision;
+        });
+    this->hooks.revision_decreased(this->revision, page.revision,
+                                   static_cast<std::size_t>(ignored));
+  }
   std::set<std::string> present;
   for (const KeyValue& item : page.items) {
     present.insert(item.key);
--- a/src/relay_daemon/relay_daemon.cc
+++ b/src/relay_daemon/relay_daemon.cc
@@ -201,6 +201,7 @@
     this->logger.Info(reachable ? "store_regained" : "store_lost",
                       {{"keys", this->platform.configuration_key}});
   };
+  hooks.revision_decreased = LogDecreasedRevision(this->logger, this->platform.configuration_key);
   return hooks;
 }
 
@@ -242,6 +243,7 @@
     this->logger.Info(reachable ? "store_regained" : "store_lost",
                       {{"keys", this->platform.servers_prefix}});
   };
+  hooks.revision_decreased = LogDecreasedRevision(this->logger, this->platform.servers_prefix);
   return hooks;
 }
 
--- a/src/telemetry/metrics.cc
+++ b/src/telemetry/metrics.cc
@@ -170,6 +170,11 @@
        "sycamoredrum_leadership",
        "1 while this proxy leads the fleet",
        {}},
+      {Metric::kStoreEra,
+       MetricKind::kGauge,
+       "sycamoredrum_store_era",
+       "Era of the store: rises when the store returns from an older copy",
+       {}},
   };
   return *table;
 }
