--- a/src/leader/fake_store_test.h
+++ b/src/leader/fake_store_test.h
@@ -38,6 +38,32 @@
     this->items[key] = KeyValue{key, value, ++this->revision};
   }
 
+  /// Part of the store that a copy contains.
+  struct Copy {
+    std::map<std::string, KeyValue> items;
+    std::map<std::string, std::uint64_t> lease_of;
+    std::uint64_t revision = 0;
+  };
+
+  Copy Save() const { return Copy{this->items, this->lease_of, this->revision}; }
+
+  /// Replaces the content by an older copy. All leases end, with the keys that belong to them.
+  void Restore(const Copy& copy) {
+    this->items = copy.items;
+    this->lease_of = copy.lease_of;
+    this->revision = copy.revision;
+    this->leases.clear();
+    std::vector<std::string> leased;
+    for (const auto& [key, lease] : this->lease_of) {
+      if (lease != 0) {
+        leased.push_back(key);
+      }
+    }
+    for (const std::string& key : leased) {
+      this->Remove(key);
+    }
+  }
+
   CoordinationStore Hooks(int client) {
     CoordinationStore store;
     store.list = [this, client](const std::string& prefix,
--- a/src/relay/relay_parts_test.cc
+++ b/src/relay/relay_parts_test.cc
@@ -170,5 +170,25 @@
   EXPECT_TRUE(this->directory.Records().empty());
 }
 
+// Guards against statements to a server that is about to stop: a restored store holds the record
+// from before the server began to drain.
+TEST_F(ServerDirectoryTest, AnOlderRecordDoesNotMakeADrainingServerReady) {
+  BackendServerRecord ready = Record("a");
+  ready.started_at_ms = 1000;
+  BackendServerRecord draining = ready;
+  draining.state = BackendServerState::kDraining;
+  this->directory.Put(ready);
+  this->directory.Put(draining);
+  this->directory.Put(ready);
+  EXPECT_EQ(this->directory.Records().at("a").state, BackendServerState::kDraining);
+  this->directory.Remove("a");
+  this->directory.Put(ready);
+  EXPECT_TRUE(this->directory.Records().empty() ||
+              this->directory.Records().at("a").state == BackendServerState::kDraining);
+  ready.started_at_ms = 2000;
+  this->directory.Put(ready);
+  EXPECT_EQ(this->directory.Records().at("a").state, BackendServerState::kReady);
+}
+
 }  // namespace
 }  // namespace sycamoredrum
--- a/src/relay_daemon/fleet_simulation_test.cc
+++ b/src/relay_daemon/fleet_simulation_test.cc
@@ -115,6 +115,66 @@
   EXPECT_EQ(fleet.MembersWithGrant(), 4U);
 }
 
+// Guards against reads at a replica: a new leader finds the record of before a hand-over in a store
+// that was restored, and grants the old primary.
+TEST(FleetSimulationTest, ALostRecordDoesNotBringTheOldPrimaryBack) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    SimulatedFleet fleet(seed, 4);
+    fleet.long_message_delays = false;
+    fleet.Advance(seconds(9));
+    const FakeStore::Copy copy = fleet.store.Save();
+    fleet.database.At(0).record.state = BackendServerState::kDraining;
+    fleet.Advance(seconds(3));
+    ASSERT_EQ(fleet.database.promotions.size(), 1U);
+    const std::string primary = fleet.database.promotions[0];
+    fleet.database.At(0).record.state = BackendServerState::kReady;
+    // The leader is frozen while the store returns, so another member leads afterwards.
+    fleet.store.down = true;
+    const auto leader = static_cast<std::size_t>(fleet.nodes[0]->leader_number);
+    fleet.frozen_until[leader] = fleet.clock.Now() + seconds(5);
+    fleet.Advance(seconds(2));
+    fleet.store.Restore(copy);
+    fleet.store.down = false;
+    for (int step = 0; step < 400; ++step) {
+      fleet.Advance(milliseconds(50));
+      for (const auto& node : fleet.nodes) {
+        const std::optional<PrimaryGrant> grant = node->grants.Current("db");
+        ASSERT_TRUE(!grant || grant->server == primary)
+            << "seed " << seed << ": member " << node->number << " may use " << grant->server;
+      }
+    }
+    EXPECT_EQ(fleet.MembersWithGrant(), 4U) << "seed " << seed;
+  }
+}
+
+// Guards against a promotion while a member may still use the old primary: the restored store lacks
+// the member's registration, and the leader no longer waits for its grant.
+TEST(FleetSimulationTest, APromotionWaitsForAMemberWhoseRegistrationWasLost) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    SimulatedFleet fleet(seed, 5);
+    fleet.long_message_delays = false;
+    fleet.Advance(seconds(9));
+    const int leader = fleet.nodes[0]->leader_number;
+    const int lost = (leader + 1) % 5;
+    FakeStore::Copy copy = fleet.store.Save();
+    copy.items.erase(kMembersPrefix + fleet.nodes[static_cast<std::size_t>(lost)]->self.member);
+    for (int i = 0; i < 5; ++i) {
+      fleet.links_cut.insert({std::min(i, lost), std::max(i, lost)});
+    }
+    fleet.store.disconnected.insert(lost);
+    fleet.store.Restore(copy);
+    fleet.Advance(milliseconds(500));
+    fleet.database.At(0).down = true;
+    // SimulatedFleet::OnPromote checks that no member may use the old primary.
+    fleet.Advance(seconds(12));
+    EXPECT_EQ(fleet.promotions, 1) << "seed " << seed;
+    if (testing::Test::HasFailure()) {
+      fleet.PrintLog();
+      FAIL() << "seed " << seed;
+    }
+  }
+}
+
 // Overlapping random faults of all kinds. SimulatedFleet::OnPromote checks the invariant.
 TEST(FleetSimulationTest, NoMemberMayUseAReplacedPrimary) {
   constexpr std::uint64_t kSeeds = 120;
--- a/testsuite/relay/relay_test.cc
+++ b/testsuite/relay/relay_test.cc
@@ -152,6 +152,18 @@
     });
   }
 
+  /// Replaces a relay by a new process of the same name, as if it had been killed.
+  void Restart(std::size_t relay) {
+    this->relays[relay]->process->Signal(SIGKILL);
+    this->relays[relay]->process->Wait(seconds(2));
+    const std::string name = "r" + std::to_string(relay + 1);
+    this->relays[relay] = std::make_unique<RelayProcess>(name, this->platform.Address());
+  }
+
+  bool OpensEventually(int relay, const std::string& route, milliseconds limit) {
+    return Eventually([&] { return this->Open(relay, route).greeting == "READY I -\r\n"; }, limit);
+  }
+
   StandinUsersPlatform platform;
   std::vector<std::unique_ptr<RelayProcess>> relays;
 };
@@ -290,6 +302,44 @@
   }
 }
 
+// Guards against a relay that drops a new configuration because the store, back from an older copy,
+// gave it an earlier revision than that of the configuration in use.
+TEST_F(RelayTest, ConfigurationWrittenAfterTheStoreWasRestoredIsInForce) {
+  constexpr milliseconds kApplyLimit(4000);  // The platform's bound.
+  this->platform.SaveStore();
+  this->platform.Configure(9, {"place=primary", "added=primary"});
+  this->platform.Configure(11, {"place=primary", "added=primary"});
+  this->platform.Configure(15, {"place=primary", "added=primary", "more=primary"});
+  for (const int relay : {0, 1}) {
+    ASSERT_TRUE(this->OpensEventually(relay, "more", kApplyLimit));
+  }
+  this->platform.SetStoreDown(true);
+  poll(nullptr, 0, 500);
+  this->platform.RestoreStore();
+  this->platform.SetStoreDown(false);
+  this->platform.Configure(17, {"place=primary", "last=primary"});
+  for (const int relay : {0, 1}) {
+    EXPECT_TRUE(this->OpensEventually(relay, "last", kApplyLimit)) << relay;
+    EXPECT_THAT(this->Open(relay, "more").greeting, HasSubstr("ERR NODB"));
+  }
+}
+
+// Guards against a leader that reads an older configuration from a restored store after a restart
+// and never learns the newer one that the other members use.
+TEST_F(RelayTest, RestartedLeaderTakesTheNewerConfigurationOfTheMembers) {
+  this->platform.SaveStore();
+  this->platform.Configure(15, {"place=primary", "added=primary"});
+  for (const int relay : {0, 1}) {
+    ASSERT_TRUE(this->OpensEventually(relay, "added", kWaitLimit));
+  }
+  this->platform.RestoreStore();
+  // One of the two is the leader when it is restarted.
+  for (const int relay : {0, 1}) {
+    this->Restart(static_cast<std::size_t>(relay));
+    EXPECT_TRUE(this->OpensEventually(relay, "added", kWaitLimit)) << relay;
+  }
+}
+
 TEST_F(RelayTest, GracefulStopWaitsForOpenTransactions) {
   Caller caller = this->Open(0, "place");
   EXPECT_THAT(caller.Execute("BEGIN"), HasSubstr("READY T"));
--- a/testsuite/relay/standin_users_platform.cc
+++ b/testsuite/relay/standin_users_platform.cc
@@ -57,6 +57,15 @@
                              },
                              nullptr, nullptr}) {}
 
+  /// Part of the store that a copy contains.
+  struct Content {
+    std::map<std::string, Item> items;
+    std::map<std::uint64_t, Lease> leases;
+    std::vector<std::pair<std::uint64_t, std::string>> changes;  ///< Revision and key.
+    std::uint64_t revision = 10;
+  };
+
+  void Respond(const HttpRespond& respond, int status, const Json& body) const;
   // HTTP calls of the store and the promotion call.
   void Handle(const HttpRequest& request, HttpRespond respond);
   void Range(const HttpRequest& request, const HttpRespond& respond);
@@ -86,10 +95,9 @@
 
   EventLoop loop;
   HttpServer http;
-  std::map<std::string, Item> items;
-  std::map<std::uint64_t, Lease> leases;
-  std::vector<std::pair<std::uint64_t, std::string>> changes;  ///< Revision and key.
-  std::uint64_t revision = 10;
+  Content store;
+  Content copy;
+  std::uint64_t era = 1;
   std::uint64_t next_lease = 1;
   bool store_down = false;
   Duration statement_time{};
@@ -101,20 +109,18 @@
   std::map<std::string, int> commits;  ///< Number of commits, by written data.
 };
 
-namespace {
-
-void Respond(const HttpRespond& respond, int status, const Json& body) {
+void StandinUsersPlatform::State::Respond(const HttpRespond& respond, int status,
+                                          const Json& body) const {
   HttpResponse response;
   response.status = status;
+  response.headers = {{"Store-Era", absl::StrCat(this->era)}};
   response.body = body.dump();
   respond(std::move(response));
 }
 
-}  // namespace
-
 void StandinUsersPlatform::State::Handle(const HttpRequest& request, HttpRespond respond) {
   if (this->store_down) {
-    Respond(respond, 503, Json::object());
+    this->Respond(respond, 503, Json::object());
     return;
   }
   this->ExpireLeases();
@@ -131,25 +137,25 @@
   } else if (path == "/sycamoredrum/kv-lease") {
     const Duration time = std::chrono::milliseconds(Json::parse(request.body).at("ttlMs"));
     const std::uint64_t lease = this->next_lease++;
-    this->leases[lease] = Lease{time, this->loop.Now() + time};
-    Respond(respond, 200, {{"lease", lease}, {"ttlMs", 3000}});
+    this->store.leases[lease] = Lease{time, this->loop.Now() + time};
+    this->Respond(respond, 200, {{"lease", lease}, {"ttlMs", 3000}});
   } else if (path.compare(0, renew_prefix.size(), renew_prefix) == 0) {
-    const auto found = this->leases.find(std::stoull(path.substr(renew_prefix.size())));
-    if (found != this->leases.end()) {
+    const auto found = this->store.leases.find(std::stoull(path.substr(renew_prefix.size())));
+    if (found != this->store.leases.end()) {
       found->second.expires_at = this->loop.Now() + found->second.time_to_live;
     }
-    Respond(respond, found == this->leases.end() ? 404 : 200, Json::object());
+    this->Respond(respond, found == this->store.leases.end() ? 404 : 200, Json::object());
   } else if (path.compare(0, end_prefix.size(), end_prefix) == 0) {
-    const auto found = this->leases.find(std::stoull(path.substr(end_prefix.size())));
-    if (found != this->leases.end()) {
+    const auto found = this->store.leases.find(std::stoull(path.substr(end_prefix.size())));
+    if (found != this->store.leases.end()) {
       found->second.expires_at = this->loop.Now();
       this->ExpireLeases();
     }
-    Respond(respond, 200, Json::object());
+    this->Respond(respond, 200, Json::object());
   } else if (path == "/failover") {
     this->Failover(request, respond);
   } else {
-    Respond(respond, 404, Json::object());
+    this->Respond(respond, 404, Json::object());
   }
 }
 
@@ -159,38 +165,42 @@
 
 void StandinUsersPlatform::State::Range(const HttpRequest& request, const HttpRespond& respond) {
   const std::string prefix = request.QueryParameter("prefix").value_or("");
-  Json body = {{"items", Json::array()}, {"hasMore", false}, {"currentRev", this->revision}};
-  for (const auto& [key, item] : this->items) {
+  Json body = {{"items", Json::array()}, {"hasMore", false}, {"currentRev", this->store.revision}};
+  for (const auto& [key, item] : this->store.items) {
     if (key.compare(0, prefix.size(), prefix) == 0) {
       body["items"].push_back(this->ItemJson(key, item));
     }
   }
-  Respond(respond, 200, body);
+  this->Respond(respond, 200, body);
 }
 
 void StandinUsersPlatform::State::Watch(const HttpRequest& request, const HttpRespond& respond,
                                         TimePoint until) {
   if (this->store_down) {
-    Respond(respond, 503, Json::object());
+    this->Respond(respond, 503, Json::object());
     return;
   }
   this->ExpireLeases();
   const std::string prefix = request.QueryParameter("prefix").value_or("");
   const std::uint64_t after = std::stoull(request.QueryParameter("after").value_or("0"));
+  if (after > this->store.revision) {
+    this->Respond(respond, 410, Json::object());
+    return;
+  }
   Json events = Json::array();
-  for (const auto& [changed, key] : this->changes) {
+  for (const auto& [changed, key] : this->store.changes) {
     if (changed <= after || key.compare(0, prefix.size(), prefix) != 0) {
       continue;
     }
-    const auto item = this->items.find(key);
-    if (item == this->items.end()) {
+    const auto item = this->store.items.find(key);
+    if (item == this->store.items.end()) {
       events.push_back({{"key", key}, {"rev", changed}, {"tombstone", true}});
     } else if (item->second.revision == changed) {
       events.push_back(this->ItemJson(key, item->second));
     }
   }
   if (!events.empty() || this->loop.Now() >= until) {
-    Respond(respond, 200, {{"events", events}, {"currentRev", this->revision}});
+    this->Respond(respond, 200, {{"events", events}, {"currentRev", this->store.revision}});
     return;
   }
   this->loop.RunAfter(kWatchPollInterval,
@@ -203,21 +213,21 @@
   bool conflict = false;
   for (const Json& condition : body.at("expected")) {
     const std::string key = condition.at("key");
-    const auto found = this->items.find(key);
-    const std::uint64_t actual = found == this->items.end() ? 0 : found->second.revision;
+    const auto found = this->store.items.find(key);
+    const std::uint64_t actual = found == this->store.items.end() ? 0 : found->second.revision;
     conflict = conflict || actual != condition.at("rev").get<std::uint64_t>();
-    if (found != this->items.end()) {
+    if (found != this->store.items.end()) {
       present.push_back(this->ItemJson(key, found->second));
     }
   }
   if (conflict) {
-    Respond(respond, 412, {{"items", present}});
+    this->Respond(respond, 412, {{"items", present}});
     return;
   }
   for (const Json& put : body.at("puts")) {
     const std::uint64_t lease = put.value("lease", std::uint64_t{0});
-    if (lease != 0 && this->leases.count(lease) == 0) {
-      Respond(respond, 404, Json::object());
+    if (lease != 0 && this->store.leases.count(lease) == 0) {
+      this->Respond(respond, 404, Json::object());
       return;
     }
     this->Put(put.at("key"), put.at("value"), lease);
@@ -225,27 +235,27 @@
   for (const Json& key : body.at("deletes")) {
     this->Remove(key);
   }
-  Respond(respond, 200, {{"rev", this->revision}});
+  this->Respond(respond, 200, {{"rev", this->store.revision}});
 }
 
 void StandinUsersPlatform::State::Put(const std::string& key, const std::string& value,
                                       std::uint64_t lease) {
-  this->items[key] = Item{value, ++this->revision, lease};
-  this->changes.emplace_back(this->revision, key);
+  this->store.items[key] = Item{value, ++this->store.revision, lease};
+  this->store.changes.emplace_back(this->store.revision, key);
 }
 
 void StandinUsersPlatform::State::Remove(const std::string& key) {
-  if (this->items.erase(key) > 0) {
-    this->changes.emplace_back(++this->revision, key);
+  if (this->store.items.erase(key) > 0) {
+    this->store.changes.emplace_back(++this->store.revision, key);
   }
 }
 
 void StandinUsersPlatform::State::ExpireLeases() {
   std::vector<std::string> expired_keys;
-  for (const auto& [key, item] : this->items) {
-    const auto lease = this->leases.find(item.lease);
+  for (const auto& [key, item] : this->store.items) {
+    const auto lease = this->store.leases.find(item.lease);
     const bool expired =
-        lease == this->leases.end() || lease->second.expires_at <= this->loop.Now();
+        lease == this->store.leases.end() || lease->second.expires_at <= this->loop.Now();
     if (item.lease != 0 && expired) {
       expired_keys.push_back(key);
     }
@@ -261,7 +271,7 @@
       this->backend_servers.begin(), this->backend_servers.end(),
       [&id](const BackendServer& server) { return server.id == id && server.running; });
   if (target == this->backend_servers.end()) {
-    Respond(respond, 409, Json::object());
+    this->Respond(respond, 409, Json::object());
     return;
   }
   const int number = static_cast<int>(target - this->backend_servers.begin());
@@ -272,7 +282,7 @@
       ++this->promotions;
     });
   }
-  Respond(respond, 200, Json::object());
+  this->Respond(respond, 200, Json::object());
 }
 
 void StandinUsersPlatform::State::AddBackendServer(int number) {
@@ -475,6 +485,21 @@
   });
 }
 
+void StandinUsersPlatform::SaveStore() {
+  this->state->RunOnLoop<bool>([this] {
+    this->state->copy = this->state->store;
+    return true;
+  });
+}
+
+void StandinUsersPlatform::RestoreStore() {
+  this->state->RunOnLoop<bool>([this] {
+    this->state->store = this->state->copy;
+    ++this->state->era;
+    return true;
+  });
+}
+
 void StandinUsersPlatform::SetStatementTime(Duration time) {
   this->state->RunOnLoop<bool>([this, time] {
     this->state->statement_time = time;
@@ -490,7 +515,8 @@
 }
 
 bool StandinUsersPlatform::HasKey(const std::string& key) {
-  return this->state->RunOnLoop<bool>([this, key] { return this->state->items.count(key) != 0; });
+  return this->state->RunOnLoop<bool>(
+      [this, key] { return this->state->store.items.count(key) != 0; });
 }
 
 int StandinUsersPlatform::Primary() {
--- a/testsuite/relay/standin_users_platform.h
+++ b/testsuite/relay/standin_users_platform.h
@@ -40,6 +40,12 @@
   /// Makes the store and the promotion call answer with status 503, or ends that.
   void SetStoreDown(bool down);
 
+  /// Saves a copy of the store.
+  void SaveStore();
+  /// Replaces the content of the store by the saved copy: keys, leases and revisions go back, and
+  /// the era that the store reports rises by one.
+  void RestoreStore();
+
   /// True if the store holds the key.
   bool HasKey(const std::string& key);
   /// Number of the backend server that is primary.
