Put the store's era in front of its revisions

Cause: revisions were taken for numbers that only grow. The store gives them out again after a restore, so each mirror dropped what has a lower revision than its copy, and members would have ignored leaders of a lower epoch. A mirror lists again after a failed call, since a watch that waits does not show a new era. A leader of an earlier era is elected again at once, so that its epoch, which is the fencing token, grows too. Not covered here: decisions that trust that a confirmed write stays.

--- a/src/include/sycamoredrum/coordination_store.h
+++ b/src/include/sycamoredrum/coordination_store.h
@@ -11,6 +11,21 @@
 
 namespace sycamoredrum {
 
+/// Revisions consist of the store's era, in the upper bits, and its change counter, in the lower
+/// kCounterBits. The era rises when the store returns from an older copy; the counter then goes
+/// back, and its values are given out again. A revision of a later era is greater than all
+/// revisions of earlier ones. 2^44 changes are enough for a million changes a second over half a
+/// year.
+inline constexpr int kCounterBits = 44;
+
+inline constexpr std::uint64_t MakeRevision(std::uint64_t era, std::uint64_t counter) {
+  return (era << kCounterBits) | counter;
+}
+inline constexpr std::uint64_t EraOf(std::uint64_t revision) { return revision >> kCounterBits; }
+inline constexpr std::uint64_t CounterOf(std::uint64_t revision) {
+  return revision & (MakeRevision(1, 0) - 1);
+}
+
 /// One change in the store.
 struct StoreEvent {
   KeyValue item;  ///< `value` is empty if the key was removed.
@@ -26,7 +41,8 @@
 
 enum class WatchStatus {
   kOk,
-  kHistoryLost,  ///< The changes are no longer available; list the keys again.
+  kHistoryLost,  ///< The changes are no longer available, or the store returned from an older
+                 ///< copy; list the keys again.
   kUnavailable,
 };
 
@@ -48,6 +64,9 @@
 /// The platform's key-value store with leases. Each call invokes its callback exactly once, and
 /// never before the call itself returns. PlatformStatus::kUnknown means that a write may have taken
 /// effect or may do so later.
+///
+/// The store may return from an older copy. Writes that it confirmed and leases that it granted are
+/// lost then, and each item that it still has gets a revision of the new era.
 struct CoordinationStore {
   using PageCallback = std::function<void(PlatformStatus, const StorePage&)>;
   using WatchCallback = std::function<void(WatchStatus, const StorePage&)>;
--- a/src/include/sycamoredrum/leadership.h
+++ b/src/include/sycamoredrum/leadership.h
@@ -56,6 +56,11 @@
   /// nothing means that the key does not exist.
   void KeyChanged(const std::optional<KeyValue>& item);
 
+  /// To be called when the store has returned from an older copy, in the era `era`, before
+  /// KeyChanged() reports the key that it has now. A leader of an earlier era must be elected
+  /// again: the store may have lost its key, and members tell the leader by the key's revision.
+  void StoreRestored(std::uint64_t era);
+
   /// True while this process may act as the leader.
   bool Leading() const;
   /// Epoch of this process's leadership; 0 if it does not lead.
--- a/src/include/sycamoredrum/store_mirror.h
+++ b/src/include/sycamoredrum/store_mirror.h
@@ -45,10 +45,9 @@
   /// Optional. Upper bound of the retry delay, instead of kMaxRetryDelay. A large fleet, for
   /// example of 300 processes, needs a longer one to limit the retries while the store is down.
   std::function<Duration()> max_retry_delay = nullptr;
-  /// Optional. A list has an earlier revision than the copy. `ignored` keys of it have an earlier
-  /// revision than in the copy and are not taken over.
-  std::function<void(std::uint64_t copy, std::uint64_t list, std::size_t ignored)>
-      revision_decreased = nullptr;
+  /// Optional. The store has returned from an older copy, in a new era. Called before the changes
+  /// of the local copy that follow from it are reported.
+  std::function<void(std::uint64_t era)> restored = nullptr;
 };
 
 /// Local copy of all keys with a prefix, kept up to date by list and watch. Not thread-safe.
@@ -80,6 +79,8 @@
   bool Synchronized() const { return this->synchronized; }
   /// True if the last call that ended was successful.
   bool Reachable() const { return this->reachable; }
+  /// Era of the store in which the copy was last updated.
+  std::uint64_t Era() const { return EraOf(this->revision); }
   /// When a call last succeeded.
   TimePoint LastSuccess() const { return this->last_success; }
 
--- a/src/leader/fake_store_test.h
+++ b/src/leader/fake_store_test.h
@@ -47,11 +47,16 @@
 
   Copy Save() const { return Copy{this->items, this->lease_of, this->revision}; }
 
-  /// Replaces the content by an older copy. All leases end, with the keys that belong to them.
+  /// Replaces the content by an older copy, in a new era. All leases end, with the keys that belong
+  /// to them.
   void Restore(const Copy& copy) {
+    const std::uint64_t era = EraOf(this->revision) + 1;
     this->items = copy.items;
+    for (auto& [key, item] : this->items) {
+      item.revision = MakeRevision(era, CounterOf(item.revision));
+    }
     this->lease_of = copy.lease_of;
-    this->revision = copy.revision;
+    this->revision = MakeRevision(era, CounterOf(copy.revision));
     this->leases.clear();
     std::vector<std::string> leased;
     for (const auto& [key, lease] : this->lease_of) {
--- a/src/leader/leadership.cc
+++ b/src/leader/leadership.cc
@@ -47,6 +47,18 @@
   this->EnterElection();
 }
 
+void Leadership::StoreRestored(std::uint64_t era) {
+  if (this->phase != Phase::kLeading || era <= EraOf(this->epoch)) {
+    return;
+  }
+  this->StepDown("the store has returned from an older copy");
+  // A new election soon after the loss keeps the members' grants alive.
+  this->phase = Phase::kFollowing;
+  ++this->attempt;
+  this->excluded_until = this->clock.Now();
+  this->EnterElection();
+}
+
 // True unless another process holds the key.
 bool Leadership::KeyAvailable() const {
   return !this->key || this->key->value == this->options.value ||
@@ -153,14 +165,11 @@
 
 void Leadership::Renew() {
   this->store.renew_lease(this->lease, [this, weak = std::weak_ptr<bool>(this->alive),
-                                        number = this->attempt](PlatformStatus status) {
+                                        number = this->attempt](PlatformStatus) {
     if (weak.expired() || number != this->attempt) {
       return;
     }
-    if (status == PlatformStatus::kNotFound) {
-      this->StepDown("the lease has ended in the store");
-      return;
-    }
+    // A lease that is not found belonged to an earlier era, or has ended together with the key.
     this->Confirm();
   });
 }
@@ -188,6 +197,14 @@
   const auto own = std::find_if(page.items.begin(), page.items.end(), [this](const KeyValue& item) {
     return item.key == this->options.key && item.value == this->options.value;
   });
+  if (this->phase == Phase::kLeading && EraOf(page.revision) > EraOf(this->epoch)) {
+    const auto present =
+        std::find_if(page.items.begin(), page.items.end(),
+                     [this](const KeyValue& item) { return item.key == this->options.key; });
+    this->key = present == page.items.end() ? std::nullopt : std::optional<KeyValue>(*present);
+    this->StoreRestored(EraOf(page.revision));
+    return;
+  }
   if (own == page.items.end()) {
     if (this->phase == Phase::kLeading) {
       this->StepDown("the leader's key no longer names this process");
--- a/src/leader/leadership_test.cc
+++ b/src/leader/leadership_test.cc
@@ -181,6 +181,22 @@
   EXPECT_EQ(this->Leader(), 1 - first);
 }
 
+// Guards against members that ignore every leader elected after a restore of the store, because
+// its epoch is below that of the last one, and against a fencing token that goes back.
+TEST_F(LeadershipTest, ALeaderElectedAfterARestoreHasAGreaterEpoch) {
+  this->Add(3);
+  const FakeStore::Copy copy = this->store.Save();
+  this->clock.Advance(seconds(3));
+  const int first = this->Leader();
+  ASSERT_GE(first, 0);
+  const std::uint64_t epoch = this->candidates[static_cast<std::size_t>(first)]->leadership.Epoch();
+  this->store.Restore(copy);
+  this->clock.Advance(seconds(3));
+  const int second = this->Leader();
+  ASSERT_GE(second, 0);
+  EXPECT_GT(this->candidates[static_cast<std::size_t>(second)]->leadership.Epoch(), epoch);
+}
+
 TEST_F(LeadershipTest, AnOutageEndsTheLeadershipAndItsEndBringsOneBack) {
   this->Add(3);
   this->clock.Advance(seconds(3));
--- a/src/leader/store_mirror.cc
+++ b/src/leader/store_mirror.cc
@@ -52,7 +52,8 @@
   if (number <= this->last_settled_list) {
     return;
   }
-  if (status != PlatformStatus::kOk) {
+  // An answer of an earlier era was overtaken by one that shows the restored store.
+  if (status != PlatformStatus::kOk || EraOf(page.revision) < this->Era()) {
     if (this->lists_in_flight == 0) {
       this->last_settled_list = this->list_number;
       this->Failed();
@@ -61,14 +62,8 @@
   }
   this->last_settled_list = this->list_number;
   this->Succeeded();
-  if (page.revision < this->revision && this->hooks.revision_decreased) {
-    const auto ignored =
-        std::count_if(page.items.begin(), page.items.end(), [this](const KeyValue& item) {
-          const auto known = this->items.find(item.key);
-          return known != this->items.end() && item.revision < known->second.revision;
-        });
-    this->hooks.revision_decreased(this->revision, page.revision,
-                                   static_cast<std::size_t>(ignored));
+  if (this->synchronized && EraOf(page.revision) > this->Era() && this->hooks.restored) {
+    this->hooks.restored(EraOf(page.revision));
   }
   std::set<std::string> present;
   for (const KeyValue& item : page.items) {
@@ -139,6 +134,8 @@
 
 void StoreMirror::OnWatch(WatchStatus status, const StorePage& page) {
   if (status == WatchStatus::kUnavailable) {
+    // The store may return from an older copy. A watch that waits would not show its new era.
+    this->must_list = true;
     this->Failed();
     return;
   }
--- a/src/leader/store_mirror_test.cc
+++ b/src/leader/store_mirror_test.cc
@@ -57,6 +57,7 @@
     hooks.changed = [this](const StoreEvent& event) { this->events.push_back(event); };
     hooks.synchronized = [] {};
     hooks.reachable = [](bool) {};
+    hooks.restored = [this](std::uint64_t era) { this->eras.push_back(era); };
     hooks.relaxed = [this] { return this->relaxed; };
     hooks.wanted = [this] { return this->wanted; };
     hooks.max_retry_delay = [this] { return this->max_retry_delay; };
@@ -79,6 +80,7 @@
   bool down = false;
   bool silent = false;
   std::vector<StoreEvent> events;
+  std::vector<std::uint64_t> eras;
   const CoordinationStore store = Hooks();
   std::optional<StoreMirror> mirror;
 };
@@ -117,6 +119,28 @@
   EXPECT_LE(this->Calls(), before + 4);
 }
 
+// Guards against a copy that keeps the state of before a restore, and drops all changes until the
+// store's counter has passed its old value.
+TEST_F(StoreMirrorTest, AListOfALaterEraReplacesTheCopy) {
+  this->revision = MakeRevision(1, 50);
+  this->Put("servers/a");
+  this->Put("servers/b");
+  this->Make(std::nullopt);
+  this->clock.Advance(seconds(1));
+  ASSERT_EQ(this->events.size(), 2u);
+  this->down = true;
+  this->clock.Advance(seconds(3));
+  this->items.erase("servers/b");
+  this->revision = MakeRevision(2, 20);
+  this->Put("servers/a");
+  this->down = false;
+  this->clock.Advance(seconds(1));
+  EXPECT_EQ(this->eras, std::vector<std::uint64_t>{2});
+  ASSERT_EQ(this->events.size(), 4u);
+  EXPECT_EQ(this->events[2].item.key, "servers/a");
+  EXPECT_TRUE(this->events[3].removed);
+}
+
 // Guards against a mirror that makes no calls before it has a complete copy, or while the store is
 // unreachable.
 TEST_F(StoreMirrorTest, IsRelaxedOnlyAfterASuccessfulCall) {
--- a/src/relay_daemon/fleet_leader.cc
+++ b/src/relay_daemon/fleet_leader.cc
@@ -145,6 +145,10 @@
     if (weak.expired() || this->leadership.Epoch() != epoch) {
       return;
     }
+    if (status == PlatformStatus::kOk && EraOf(page.revision) != EraOf(epoch)) {
+      this->leadership.StoreRestored(EraOf(page.revision));
+      return;
+    }
     if (status == PlatformStatus::kOk) {
       this->BeginLeadership(epoch, page);
       return;
--- a/src/relay_daemon/fleet_leader.h
+++ b/src/relay_daemon/fleet_leader.h
@@ -64,6 +64,8 @@
   void Resign(const std::string& reason, Duration pause);
   /// Reports the present state of the leader's key; nothing if the key does not exist.
   void LeaderKeyChanged(const std::optional<KeyValue>& item) { this->leadership.KeyChanged(item); }
+  /// Reports that the store has returned from an older copy, in the era `era`.
+  void StoreRestored(std::uint64_t era) { this->leadership.StoreRestored(era); }
   /// Replaces the registered members; `revisions` are the store revisions of their registrations.
   void SetMembers(const std::map<std::string, std::uint64_t>& revisions);
   void SetServers(const std::map<std::string, BackendServerRecord>& servers);
--- a/src/relay_daemon/fleet_member.cc
+++ b/src/relay_daemon/fleet_member.cc
@@ -40,16 +40,6 @@
 
 }  // namespace
 
-std::function<void(std::uint64_t, std::uint64_t, std::size_t)> LogDecreasedRevision(
-    Logger& logger, const std::string& keys) {
-  return [&logger, keys](std::uint64_t copy, std::uint64_t list, std::size_t ignored) {
-    logger.Warning("store_revision_decreased", {{"keys", keys},
-                                                {"copy", absl::StrCat(copy)},
-                                                {"list", absl::StrCat(list)},
-                                                {"ignored", absl::StrCat(ignored)}});
-  };
-}
-
 FleetMember::FleetMember(const RelayPlatform& platform, MemberRecord self, double processor_share,
                          std::vector<Endpoint> seeds, const std::string& fleet_key,
                          FleetMemberHooks hooks, SessionRelay& relay, PrimaryGrants& grants,
@@ -155,7 +145,10 @@
   result.reachable = [this](bool reachable) {
     this->logger.Info(reachable ? "store_regained" : "store_lost", {{"keys", kLeaderKey}});
   };
-  result.revision_decreased = LogDecreasedRevision(this->logger, kLeaderKey);
+  result.restored = [this](std::uint64_t era) {
+    this->logger.Warning("store_restored", {{"keys", kLeaderKey}, {"era", absl::StrCat(era)}});
+    this->leader_role.StoreRestored(era);
+  };
   return result;
 }
 
@@ -165,7 +158,6 @@
   result.synchronized = [] {};
   result.wanted = [this] { return this->leader_role.Leading(); };
   result.reachable = [](bool) {};
-  result.revision_decreased = LogDecreasedRevision(this->logger, kMembersPrefix);
   return result;
 }
 
--- a/src/relay_daemon/fleet_member.h
+++ b/src/relay_daemon/fleet_member.h
@@ -33,10 +33,6 @@
   std::function<void()> store_reachable;
 };
 
-/// Returns the hook StoreMirrorHooks::revision_decreased of the mirror of `keys`, which logs.
-std::function<void(std::uint64_t copy, std::uint64_t list, std::size_t ignored)>
-LogDecreasedRevision(Logger& logger, const std::string& keys);
-
 /// Membership of this process in the fleet. Registers the process in the store, tracks the leader,
 /// obtains grants from it by heartbeats, and gives them back on a revocation. Calls the leader role
 /// of the same process directly, without a link. Not thread-safe; all callbacks run on the only
--- a/src/relay_daemon/relay_daemon.cc
+++ b/src/relay_daemon/relay_daemon.cc
@@ -201,7 +201,10 @@
     this->logger.Info(reachable ? "store_regained" : "store_lost",
                       {{"keys", this->platform.configuration_key}});
   };
-  hooks.revision_decreased = LogDecreasedRevision(this->logger, this->platform.configuration_key);
+  hooks.restored = [this](std::uint64_t era) {
+    this->logger.Warning("store_restored",
+                         {{"keys", this->platform.configuration_key}, {"era", absl::StrCat(era)}});
+  };
   return hooks;
 }
 
@@ -243,7 +246,10 @@
     this->logger.Info(reachable ? "store_regained" : "store_lost",
                       {{"keys", this->platform.servers_prefix}});
   };
-  hooks.revision_decreased = LogDecreasedRevision(this->logger, this->platform.servers_prefix);
+  hooks.restored = [this](std::uint64_t era) {
+    this->logger.Warning("store_restored",
+                         {{"keys", this->platform.servers_prefix}, {"era", absl::StrCat(era)}});
+  };
   return hooks;
 }
 
