Verify the records of primaries in each era of the store

Cause: a new leader trusted the record in the store. The record of a hand-over had been confirmed and lost, so the leader found the one before it; the members had revoked its generation, so it granted the old primary under the next one. Change: a record carries the era in which it was verified. A leader that finds a record of another era, or none, asks the servers which one leads in the highest term known, after every promotion of an earlier leader has ended. Until every grant of earlier leaders has ended, revocations wait, because members may be missing in the store. Records are stored as verified from then on. Generations of an era are above all of earlier eras. A leader that is elected again after a restore before its lease would have ended keeps its own records. Why it works: only the servers' terms and this process's own memory survive a restore; nothing else is believed before its time is over. Cost: the first start of a fleet grants 4 s later; a changed leader after a restore, too. Measured: leader and relay daemon tests pass, the failing one included.

--- a/src/include/sycamoredrum/leadership.h
+++ b/src/include/sycamoredrum/leadership.h
@@ -66,6 +66,11 @@
   /// Epoch of this process's leadership; 0 if it does not lead.
   std::uint64_t Epoch() const { return this->Leading() ? this->epoch : 0; }
 
+  /// True if this leadership began before an earlier one of this process would have ended, and the
+  /// store's return from an older copy was the only reason for the election. No other process can
+  /// have changed a primary between them.
+  bool Uninterrupted() const { return this->uninterrupted; }
+
   /// When the store last confirmed that this process leads.
   TimePoint ConfirmedAt() const { return this->deadline - this->options.lease; }
 
@@ -106,6 +111,9 @@
   std::uint64_t epoch = 0;
   TimePoint deadline;        ///< The leadership ends here unless it is confirmed again.
   TimePoint excluded_until;  ///< No candidacy before this time.
+  /// When the leadership that a restore of the store ended would have ended otherwise.
+  std::optional<TimePoint> interrupted_deadline;
+  bool uninterrupted = false;
   /// Number of the present candidacy or leadership; callbacks of earlier ones are ignored.
   std::uint64_t attempt = 0;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);  ///< Expires with the object.
--- a/src/include/sycamoredrum/primary_authority.h
+++ b/src/include/sycamoredrum/primary_authority.h
@@ -8,9 +8,11 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "sycamoredrum/clock.h"
+#include "sycamoredrum/coordination_store.h"
 #include "sycamoredrum/freshness_window.h"
 #include "sycamoredrum/log.h"
 #include "sycamoredrum/platform.h"
@@ -24,12 +26,27 @@
   std::string server;
   std::uint64_t generation = 0;  ///< Grows with each change.
   bool serving = false;  ///< False: the server was chosen, but it is not confirmed that it leads.
+  /// Era of the store in which the record was verified, which means that no decision or grant from
+  /// before that era is missing in the store and still in effect. 0: not verified in any era.
+  std::uint64_t verified_era = 0;
 };
 
 inline bool operator==(const PrimaryRecord& a, const PrimaryRecord& b) {
-  return a.server == b.server && a.generation == b.generation && a.serving == b.serving;
+  return std::tie(a.server, a.generation, a.serving, a.verified_era) ==
+         std::tie(b.server, b.generation, b.serving, b.verified_era);
 }
 
+/// What a new leader knows of the decisions of earlier leaders.
+struct FleetState {
+  std::map<std::string, PrimaryRecord> records;    ///< In the store, by database.
+  std::map<std::string, std::uint64_t> revisions;  ///< Store revisions of the records.
+  std::set<std::string> members;                   ///< All that registered and did not leave.
+  TimePoint era_observed_at;  ///< When this process first saw the present era of the store.
+  /// This process has led without interruption since before the present era began. What the last
+  /// leadership knew is still true, also where the store has lost it.
+  bool uninterrupted = false;
+};
+
 /// State of one database as a member reports it. Times are those of the leader's clock.
 struct DatabaseReport {
   std::uint64_t generation = 0;          ///< Generation of the grant that the member holds.
@@ -37,6 +54,7 @@
   std::optional<PositionObservation> newest;  ///< Newest position of the primary's log.
   std::optional<TimePoint> answered_at;       ///< When the primary last answered the member.
   std::optional<TimePoint> failing_since;  ///< Since when the primary has not answered the member.
+  std::uint64_t known_term = 0;  ///< Latest term of the database that the member has seen.
 };
 
 /// Content of a member's heartbeat.
@@ -119,7 +137,12 @@
 /// A replacement takes these steps: all grants for the old primary end (revocations acknowledged,
 /// or grants expired); the successor is chosen by the end of its log; the record that names it is
 /// stored; the platform is requested to promote it; it confirms that it leads. A new leader that
-/// finds a record that is not serving repeats the last two steps. Not thread-safe.
+/// finds a record that is not serving repeats the last two steps.
+///
+/// The store may return from an older copy and lose records and registrations. In each new era of
+/// the store, records are therefore not trusted until a leader has verified them: it asks the
+/// servers which one leads, after every promotion that an earlier leader may have requested, and
+/// stores the records again once every grant of earlier leaders has ended. Not thread-safe.
 class PrimaryAuthority {
  public:
   /// Validity of a grant, counted from when the member sent its heartbeat.
@@ -181,16 +204,22 @@
   /// Added to the interval for each step. A step takes about a microsecond; a hundred times that
   /// bounds the computations to 1% of a core.
   static constexpr Duration kSharesIntervalPerStep = std::chrono::microseconds(100);
+  /// A promotion call may take effect this long after its leader stopped leading; the timeout of
+  /// the call.
+  static constexpr Duration kPromotionCallLimit = std::chrono::milliseconds(1000);
+  /// Interval between attempts to store a record as verified.
+  static constexpr Duration kVerificationInterval = std::chrono::seconds(1);
+  /// Bits of a generation that count within one era of the store. The first generation of an era
+  /// exceeds all of earlier eras, including those of lost records.
+  static constexpr int kGenerationBits = 32;
   /// A member without a heartbeat for this time counts as unreachable.
   static constexpr Duration kMemberSilence = std::chrono::milliseconds(1600);
 
   PrimaryAuthority(PrimaryAuthorityHooks hooks, Duration predecessor_lease, const Clock& clock,
                    Scheduler& scheduler, Logger& logger);
 
-  /// Starts a leadership with the records and their revisions from the store. `members` are all
-  /// that ever registered and did not leave.
-  void Begin(std::uint64_t new_epoch, std::map<std::string, PrimaryRecord> records,
-             std::map<std::string, std::uint64_t> revisions, const std::set<std::string>& members);
+  /// Starts a leadership with what is known of earlier ones.
+  void Begin(std::uint64_t new_epoch, const FleetState& state);
   /// Ends the leadership; nothing is granted from now on.
   void End();
   bool Active() const { return this->epoch != 0; }
@@ -236,6 +265,9 @@
     bool target_leads = false;
     /// The record of an earlier leader is not serving; only the promotion is left to do.
     bool resume_promotion = false;
+    /// The store may have lost the last record; only the servers can tell which of them leads.
+    bool unverified = false;
+    std::uint64_t known_term = 0;  ///< Latest term that a member has reported.
     TimePoint phase_started;
     TimePoint last_answer;  ///< When the primary last answered a member or a probe.
     TimePoint last_probe;
@@ -257,12 +289,14 @@
     std::string old_server;
     bool call_in_flight = false;
     TimePoint next_call;
+    TimePoint next_verification;
     std::optional<PositionObservation> newest;
     /// Number of the present or last replacement; late answers of candidates are recognised by it.
     std::uint64_t replacement = 0;
     std::uint64_t step = 0;  ///< Incremented with each phase; late callbacks are recognised by it.
   };
 
+  std::map<std::string, PrimaryRecord> VerifiedRecords() const;
   void Enter(const std::string& name, Database& database, Phase phase);
   void Discover(const std::string& name, Database& database);
   void FinishDiscovery(const std::string& name, Database& database);
@@ -292,6 +326,9 @@
   void OnRecordStored(const std::string& name, Database& database, const PrimaryRecord& record,
                       PlatformStatus status, std::uint64_t revision);
   void StoreServing(const std::string& name, const Database& database);
+  void VerifyRecord(const std::string& name, Database& database);
+  std::uint64_t NextGeneration(const Database& database) const;
+  std::uint64_t VerifiedEra() const;
   void Promote(const std::string& name, Database& database);
   void OnPromote(const std::string& name, Database& database, PromoteOutcome outcome);
   void Confirm(const std::string& name, Database& database);
@@ -312,6 +349,11 @@
   Logger& logger;
   std::uint64_t epoch = 0;
   TimePoint leadership_began;
+  /// Until then, promotions may take effect whose records the store has lost.
+  TimePoint lost_promotions_end;
+  /// Until then, members that this leader does not know may hold grants.
+  TimePoint lost_grants_end;
+  TimePoint verified_from;  ///< Records are stored as verified from then on.
   std::map<std::string, BackendServerRecord> servers;
   std::map<std::string, Member> members;
   std::map<std::string, Database> databases;
--- a/src/include/sycamoredrum/primary_grants.h
+++ b/src/include/sycamoredrum/primary_grants.h
@@ -60,6 +60,9 @@
   /// valid: the grant has not expired and FinishRevocation has not dropped it.
   bool StillValid(const std::string& database, std::uint64_t generation) const;
 
+  /// Generation of the grant that is held, also while it is revoked; 0 if there is none.
+  std::uint64_t HeldGeneration(const std::string& database) const;
+
   /// Latest revoked generation of `database`; 0 if none was revoked.
   std::uint64_t RevokedGeneration(const std::string& database) const;
 
--- a/src/leader/leadership.cc
+++ b/src/leader/leadership.cc
@@ -52,6 +52,7 @@
     return;
   }
   this->StepDown("the store has returned from an older copy");
+  this->interrupted_deadline = this->deadline;
   // A new election soon after the loss keeps the members' grants alive.
   this->phase = Phase::kFollowing;
   ++this->attempt;
@@ -143,6 +144,9 @@
 }
 
 void Leadership::BecomeLeader(std::uint64_t new_epoch, TimePoint confirmed_at) {
+  this->uninterrupted =
+      this->interrupted_deadline && this->clock.Now() < *this->interrupted_deadline;
+  this->interrupted_deadline.reset();
   this->phase = Phase::kLeading;
   this->epoch = new_epoch;
   this->deadline = confirmed_at + this->options.lease;
@@ -227,6 +231,7 @@
 
 void Leadership::StepDown(const std::string& reason) {
   this->phase = Phase::kFollowing;
+  this->interrupted_deadline.reset();
   ++this->attempt;
   // The store removes the key together with the lease, if the key still belongs to this lease.
   this->store.end_lease(this->lease, [](PlatformStatus) {});
@@ -237,6 +242,7 @@
 
 void Leadership::Resign(const std::string& reason, Duration pause) {
   const bool led = this->phase == Phase::kLeading;
+  this->interrupted_deadline.reset();
   this->excluded_until = this->clock.Now() + pause;
   if (led) {
     this->StepDown(reason);
@@ -248,6 +254,9 @@
 }
 
 void Leadership::ObserveEpoch(std::uint64_t other_epoch) {
+  if (other_epoch > this->epoch) {
+    this->interrupted_deadline.reset();
+  }
   if (this->phase == Phase::kLeading && other_epoch > this->epoch) {
     this->StepDown("another process leads in a later epoch");
   }
--- a/src/leader/primary_authority.cc
+++ b/src/leader/primary_authority.cc
@@ -18,24 +18,60 @@
       scheduler(scheduler),
       logger(logger),
       leadership_began(clock.Now()),
+      lost_promotions_end(clock.Now()),
+      lost_grants_end(clock.Now()),
+      verified_from(clock.Now()),
       shares_at(clock.Now()) {}
 
-void PrimaryAuthority::Begin(std::uint64_t new_epoch, std::map<std::string, PrimaryRecord> records,
-                             std::map<std::string, std::uint64_t> revisions,
-                             const std::set<std::string>& names) {
+void PrimaryAuthority::Begin(std::uint64_t new_epoch, const FleetState& state) {
+  const TimePoint now = this->clock.Now();
+  const std::uint64_t era = EraOf(new_epoch);
+  std::map<std::string, PrimaryRecord> own_records;
+  std::set<std::string> names = state.members;
+  if (state.uninterrupted) {
+    own_records = this->VerifiedRecords();
+    for (const auto& [name, member] : this->members) {
+      names.insert(name);
+    }
+  }
+  // Era 0: the store does not report eras. Once a record is verified, all that the store lost has
+  // ended.
+  const bool verified =
+      era == 0 || std::any_of(state.records.begin(), state.records.end(), [era](const auto& entry) {
+        return entry.second.verified_era == era;
+      });
+  const TimePoint last_lease_end = state.era_observed_at + this->predecessor_lease;
+  this->verified_from = verified ? now : last_lease_end + kGrantValidity;
+  if (verified) {
+    this->lost_grants_end = now;
+    this->lost_promotions_end = now;
+  } else if (!state.uninterrupted) {
+    this->lost_grants_end = this->verified_from;
+    this->lost_promotions_end = last_lease_end + kPromotionCallLimit;
+  }
   this->epoch = new_epoch;
-  this->leadership_began = this->clock.Now();
+  this->leadership_began = now;
   this->members.clear();
   this->databases.clear();
   this->SetMembers(names);
-  for (auto& [name, record] : records) {
+  for (const auto& [name, record] : state.records) {
     Database& database = this->databases[name];
-    database.record = record;
-    database.record_revision = revisions[name];
+    database.record.generation = record.generation;
+    database.record_revision = state.revisions.at(name);
+    if (record.verified_era == era) {
+      database.record = record;
+    } else {
+      database.unverified = true;
+    }
+  }
+  for (const auto& [name, record] : own_records) {
+    this->databases[name].record = record;
+    this->databases[name].unverified = false;
   }
   this->SetDatabases(this->connection_caps);
   for (auto& [name, database] : this->databases) {
-    if (database.record.generation == 0) {
+    if (database.record.server.empty()) {
+      database.unverified = era != 0;
       this->Enter(name, database, Phase::kDiscover);
     } else if (database.record.serving) {
       this->Enter(name, database, Phase::kServing);
@@ -58,6 +94,17 @@
   }
 }
 
+// The records that this process has read as verified or has written itself.
+std::map<std::string, PrimaryRecord> PrimaryAuthority::VerifiedRecords() const {
+  std::map<std::string, PrimaryRecord> result;
+  for (const auto& [name, database] : this->databases) {
+    if (!database.record.server.empty()) {
+      result.emplace(name, database.record);
+    }
+  }
+  return result;
+}
+
 void PrimaryAuthority::SetServers(std::map<std::string, BackendServerRecord> records) {
   this->servers = std::move(records);
 }
@@ -164,6 +211,7 @@
       continue;
     }
     Database& database = known->second;
+    database.known_term = std::max(database.known_term, state.known_term);
     if (database.phase == Phase::kServing &&
         state.revoked_generation >= database.record.generation) {
       this->RenewGeneration(name, database);
@@ -254,6 +302,7 @@
         this->Discover(name, database);
         break;
       case Phase::kServing:
+        this->VerifyRecord(name, database);
         this->CheckPrimary(name, database);
         break;
       case Phase::kRevoke:
@@ -293,11 +342,11 @@
   }
 }
 
-// Without a record no leader has ever changed the primary; the server that leads in the highest
-// term is the primary.
+// Without a record that can be trusted, the server that leads in the highest term is the primary.
 void PrimaryAuthority::Discover(const std::string& name, Database& database) {
   const TimePoint now = this->clock.Now();
-  if (database.discovery_probes_in_flight > 0 || now < database.next_call) {
+  if (database.discovery_probes_in_flight > 0 || now < database.next_call ||
+      now < this->lost_promotions_end) {
     return;
   }
   const auto candidates = this->ServersOf(name);
@@ -326,14 +375,24 @@
 void PrimaryAuthority::FinishDiscovery(const std::string& name, Database& database) {
   const std::string* best = nullptr;
   std::uint64_t term = 0;
+  std::uint64_t known_term = database.known_term;
+  bool all_answered = true;
   for (const auto& [server, probe] : database.candidates) {
+    all_answered = all_answered && probe.outcome != ProbeOutcome::kNoAnswer;
+    if (probe.outcome == ProbeOutcome::kAnswered) {
+      known_term = std::max(known_term, probe.term);
+    }
     if (probe.outcome == ProbeOutcome::kAnswered && probe.role == Role::kPrimary &&
         probe.term >= term) {
       best = &server;
       term = probe.term;
     }
   }
-  if (best != nullptr) {
+  const TimePoint began = std::max(database.phase_started, this->lost_promotions_end);
+  const bool overdue = this->clock.Now() - began > kDiscoveryLimit;
+  // A server of a later term may be among those that did not answer.
+  const bool certain = !database.unverified || all_answered || overdue;
+  if (best != nullptr && term >= known_term && certain) {
     // Nothing is granted before the record is stored: a later leader must find the generation that
     // it has to revoke.
     database.target = *best;
@@ -344,10 +403,7 @@
   }
   // No server reports that it leads. The discovery continues until kDiscoveryLimit, and beyond it
   // while some server, which may lead, gives no answer.
-  const bool all_answered = std::all_of(
-      database.candidates.begin(), database.candidates.end(),
-      [](const auto& entry) { return entry.second.outcome != ProbeOutcome::kNoAnswer; });
-  if (all_answered && this->clock.Now() - database.phase_started > kDiscoveryLimit) {
+  if (all_answered && overdue) {
     this->Replace(name, database, false, "no server of the database leads");
   }
 }
--- a/src/leader/primary_replacement.cc
+++ b/src/leader/primary_replacement.cc
@@ -49,8 +49,8 @@
 // Called repeatedly until every member has acknowledged or its grants have expired; a member that
 // restarts acknowledges a later request.
 void PrimaryAuthority::SendRevocations(const std::string& name, Database& database) {
-  const std::uint64_t generation =
-      database.resume_promotion ? database.record.generation - 1 : database.record.generation;
+  const std::uint64_t generation = database.resume_promotion ? database.record.generation - 1
+                                                             : this->NextGeneration(database) - 1;
   database.next_call = this->clock.Now() + 2 * kProbeInterval;
   const std::set<std::string> targets = database.awaiting;
   for (const std::string& member : targets) {
@@ -89,7 +89,8 @@
     const bool expired = state == this->members.end() || now >= this->GrantsEnd(state->second);
     member = expired ? database.awaiting.erase(member) : std::next(member);
   }
-  if (!database.awaiting.empty()) {
+  // A member whose registration the store has lost is not asked, but its grant still ends.
+  if (!database.awaiting.empty() || now < this->lost_grants_end) {
     if (database.planned && now - database.phase_started > kPlannedRevocationLimit) {
       this->GiveUpHandOver(name, database);
     } else if (now >= database.next_call) {
@@ -243,8 +244,8 @@
     return;
   }
   database.call_in_flight = true;
-  const PrimaryRecord record{database.target, database.record.generation + 1,
-                             database.target_leads};
+  const PrimaryRecord record{database.target, this->NextGeneration(database), database.target_leads,
+                             this->VerifiedEra()};
   this->hooks.store_record(
       name, record, database.record_revision,
       [this, name, record, step = database.step, weak = std::weak_ptr<bool>(this->alive)](
@@ -275,6 +276,7 @@
   }
   database.record = record;
   database.record_revision = revision;
+  database.unverified = false;
   database.newest.reset();
   if (std::exchange(database.target_leads, false)) {
     this->Enter(name, database, Phase::kServing);
@@ -286,24 +288,45 @@
 }
 
 // An optimization that nothing depends on: a later leader that finds the record serving does not
-// repeat the promotion.
+// repeat the promotion, and one that finds it verified does not ask the servers.
 void PrimaryAuthority::StoreServing(const std::string& name, const Database& database) {
+  PrimaryRecord record = database.record;
+  record.verified_era = this->VerifiedEra();
   this->hooks.store_record(
-      name, database.record, database.record_revision,
-      [this, name, generation = database.record.generation,
-       weak = std::weak_ptr<bool>(this->alive)](PlatformStatus status, std::uint64_t revision) {
+      name, record, database.record_revision,
+      [this, name, record, weak = std::weak_ptr<bool>(this->alive)](PlatformStatus status,
+                                                                    std::uint64_t revision) {
         if (weak.expired()) {
           return;
         }
         const auto found = this->databases.find(name);
         const bool current =
-            found != this->databases.end() && found->second.record.generation == generation;
+            found != this->databases.end() && found->second.record.generation == record.generation;
         if (current && status == PlatformStatus::kOk) {
           found->second.record_revision = revision;
+          found->second.record.verified_era = record.verified_era;
+        } else if (current && status == PlatformStatus::kConflict && revision > 0) {
+          found->second.record_revision = revision;
         }
       });
 }
 
+void PrimaryAuthority::VerifyRecord(const std::string& name, Database& database) {
+  const TimePoint now = this->clock.Now();
+  if (database.record.verified_era != this->VerifiedEra() && now >= database.next_verification) {
+    database.next_verification = now + kVerificationInterval;
+    this->StoreServing(name, database);
+  }
+}
+
+std::uint64_t PrimaryAuthority::NextGeneration(const Database& database) const {
+  return std::max(database.record.generation + 1, EraOf(this->epoch) << kGenerationBits);
+}
+
+std::uint64_t PrimaryAuthority::VerifiedEra() const {
+  return this->clock.Now() >= this->verified_from ? EraOf(this->epoch) : 0;
+}
+
 void PrimaryAuthority::Promote(const std::string& name, Database& database) {
   const TimePoint now = this->clock.Now();
   if (database.call_in_flight || now < database.next_call) {
--- a/src/leader/primary_watch.cc
+++ b/src/leader/primary_watch.cc
@@ -82,6 +82,9 @@
 // revocations would only stop the other members from using it.
 bool PrimaryAuthority::MayRevoke() const {
   const TimePoint now = this->clock.Now();
+  if (now + kRevocationLead < this->lost_grants_end) {
+    return false;
+  }
   return std::all_of(this->members.begin(), this->members.end(), [&](const auto& entry) {
     const Member& member = entry.second;
     const bool in_contact =
--- a/src/relay/primary_grants.cc
+++ b/src/relay/primary_grants.cc
@@ -55,6 +55,11 @@
   return found->second.grant;
 }
 
+std::uint64_t PrimaryGrants::HeldGeneration(const std::string& database) const {
+  const auto found = this->entries.find(database);
+  return found == this->entries.end() || !found->second.grant ? 0 : found->second.grant->generation;
+}
+
 std::uint64_t PrimaryGrants::RevokedGeneration(const std::string& database) const {
   const auto found = this->entries.find(database);
   return found == this->entries.end() ? 0 : found->second.revoked_generation;
--- a/src/relay_daemon/fleet_leader.cc
+++ b/src/relay_daemon/fleet_leader.cc
@@ -44,6 +44,7 @@
       leadership(platform.store, MakeLeadershipOptions(this->self, min_candidate_delay),
                  this->MakeLeadershipHooks(), clock, scheduler, std::move(random)),
       authority(this->MakeAuthorityHooks(), LeadershipOptions{}.lease, clock, scheduler, logger),
+      era_observed_at(clock.Now()),
       last_cleanup(clock.Now()) {}
 
 LeadershipHooks FleetLeader::MakeLeadershipHooks() {
@@ -138,6 +139,14 @@
                            });
 }
 
+void FleetLeader::ObserveStoreEra(std::uint64_t era) {
+  if (era > this->store_era) {
+    this->store_era = era;
+    this->era_observed_at = this->clock.Now();
+  }
+  this->leadership.StoreRestored(era);
+}
+
 // Reads the decisions of earlier leaders after the take-over, when those can no longer write.
 void FleetLeader::LoadFleetState(std::uint64_t epoch) {
   this->platform.store.list(kFleetPrefix, [this, weak = std::weak_ptr<bool>(this->alive), epoch](
@@ -146,7 +155,7 @@
       return;
     }
     if (status == PlatformStatus::kOk && EraOf(page.revision) != EraOf(epoch)) {
-      this->leadership.StoreRestored(EraOf(page.revision));
+      this->ObserveStoreEra(EraOf(page.revision));
       return;
     }
     if (status == PlatformStatus::kOk) {
@@ -162,8 +171,10 @@
 }
 
 void FleetLeader::BeginLeadership(std::uint64_t epoch, const StorePage& page) {
-  std::map<std::string, PrimaryRecord> records;
-  std::map<std::string, std::uint64_t> revisions;
+  this->ObserveStoreEra(EraOf(epoch));
+  FleetState state;
+  state.era_observed_at = this->era_observed_at;
+  state.uninterrupted = this->leadership.Uninterrupted();
   this->member_revisions.clear();
   for (const KeyValue& item : page.items) {
     if (absl::StartsWith(item.key, kMembersPrefix)) {
@@ -172,18 +183,23 @@
     } else if (absl::StartsWith(item.key, kPrimariesPrefix)) {
       const std::string name = item.key.substr(std::string_view(kPrimariesPrefix).size());
       if (const std::optional<PrimaryRecord> record = ParsePrimaryRecord(item.value)) {
-        records[name] = *record;
-        revisions[name] = item.revision;
+        state.records[name] = *record;
+        state.revisions[name] = item.revision;
       } else {
         this->logger.Error("primary_record_unreadable", {{"key", item.key}});
       }
     }
   }
-  std::set<std::string> names;
   for (const auto& [name, revision] : this->member_revisions) {
-    names.insert(name);
+    state.members.insert(name);
   }
-  this->authority.Begin(epoch, std::move(records), std::move(revisions), names);
+  this->logger.Info("fleet_state",
+                    {{"era", absl::StrCat(EraOf(epoch))},
+                     {"uninterrupted", state.uninterrupted ? "true" : "false"},
+                     {"era_known_ms", LogMilliseconds(this->clock.Now() - this->era_observed_at)},
+                     {"records", absl::StrCat(state.records.size())},
+                     {"members", absl::StrCat(state.members.size())}});
+  this->authority.Begin(epoch, state);
   this->hooks.request_heartbeats();
 }
 
@@ -285,6 +301,7 @@
     DatabaseReport converted;
     converted.generation = database.generation;
     converted.revoked_generation = database.revoked_generation;
+    converted.known_term = database.newest ? database.newest->term : 0;
     if (echoed && database.newest) {
       converted.newest = PositionObservation{*database.newest, sent - database.newest_age};
     }
--- a/src/relay_daemon/fleet_leader.h
+++ b/src/relay_daemon/fleet_leader.h
@@ -64,8 +64,9 @@
   void Resign(const std::string& reason, Duration pause);
   /// Reports the present state of the leader's key; nothing if the key does not exist.
   void LeaderKeyChanged(const std::optional<KeyValue>& item) { this->leadership.KeyChanged(item); }
-  /// Reports that the store has returned from an older copy, in the era `era`.
-  void StoreRestored(std::uint64_t era) { this->leadership.StoreRestored(era); }
+  /// Reports the store's era. A later one than before means that the store has returned from an
+  /// older copy.
+  void ObserveStoreEra(std::uint64_t era);
   /// Replaces the registered members; `revisions` are the store revisions of their registrations.
   void SetMembers(const std::map<std::string, std::uint64_t>& revisions);
   void SetServers(const std::map<std::string, BackendServerRecord>& servers);
@@ -112,6 +113,8 @@
   PrimaryAuthority authority;
   std::map<std::string, std::uint64_t> member_revisions;  ///< Store revisions of the registrations.
   PrimaryVersions versions;
+  std::uint64_t store_era = 0;
+  TimePoint era_observed_at;  ///< When `store_era` was first observed.
   TimePoint last_cleanup;
   std::shared_ptr<bool> alive =
       std::make_shared<bool>(true);  ///< Lets callbacks detect the destruction of the object.
--- a/src/relay_daemon/fleet_member.cc
+++ b/src/relay_daemon/fleet_member.cc
@@ -137,6 +137,7 @@
   result.synchronized = [this] {
     this->logger.Info("fleet_synchronized",
                       {{"leader", this->leader ? this->leader->member : "none"}});
+    this->leader_role.ObserveStoreEra(this->leader_mirror.Era());
     this->leader_role.Start();
   };
   result.relaxed = [this] { return this->LeaderReachable(); };
@@ -147,7 +148,7 @@
   };
   result.restored = [this](std::uint64_t era) {
     this->logger.Warning("store_restored", {{"keys", kLeaderKey}, {"era", absl::StrCat(era)}});
-    this->leader_role.StoreRestored(era);
+    this->leader_role.ObserveStoreEra(era);
   };
   return result;
 }
@@ -423,7 +424,7 @@
   RevocationAnswer answer;
   answer.acknowledged = true;
   const std::optional<PositionObservation> newest =
-      this->relay.NewestPosition(message.database, message.generation);
+      this->relay.NewestPosition(message.database, this->grants.HeldGeneration(message.database));
   if (newest) {
     answer.newest = newest->position;
   }
--- a/src/relay_daemon/fleet_messages.cc
+++ b/src/relay_daemon/fleet_messages.cc
@@ -58,13 +58,16 @@
 }
 
 Json PrimaryJson(const PrimaryRecord& record) {
-  return {
-      {"server", record.server}, {"generation", record.generation}, {"serving", record.serving}};
+  return {{"server", record.server},
+          {"generation", record.generation},
+          {"serving", record.serving},
+          {"verified_era", record.verified_era}};
 }
 
 PrimaryRecord DecodePrimary(const Json& json) {
   return PrimaryRecord{json.at("server").get<std::string>(),
-                       json.at("generation").get<std::uint64_t>(), json.at("serving").get<bool>()};
+                       json.at("generation").get<std::uint64_t>(), json.at("serving").get<bool>(),
+                       json.value("verified_era", std::uint64_t{0})};
 }
 
 Json ServerJson(const BackendServerRecord& record) {
--- a/src/relay_daemon/simulated_fleet_test.h
+++ b/src/relay_daemon/simulated_fleet_test.h
@@ -287,7 +287,11 @@
       this->leader->SetMembers(this->members);
     }
   };
-  mirror_hooks.synchronized = [this] { this->leader->Start(); };
+  mirror_hooks.restored = [this](std::uint64_t era) { this->leader->ObserveStoreEra(era); };
+  mirror_hooks.synchronized = [this] {
+    this->leader->ObserveStoreEra(this->mirror->Era());
+    this->leader->Start();
+  };
   mirror_hooks.reachable = [](bool) {};
   this->mirror = std::make_unique<StoreMirror>(
       this->platform.store, StoreMirrorOptions{kFleetPrefix}, mirror_hooks, fleet.clock,
