Keep members whose registration the store has lost

What callers would see: two primaries in use at once, so stale reads and writes that are lost. Cause: the leader took the absence of a registration for a member that has left. After a restore, a member that registered after the copy is absent, too, while it holds a grant; the leader no longer waited for it before a promotion. Change: a registration that is missing in a later era than the one in which it was seen counts as lost. Why it works: within one era the store loses nothing, so only an era that differs makes absence ambiguous.

--- a/src/include/sycamoredrum/primary_authority.h
+++ b/src/include/sycamoredrum/primary_authority.h
@@ -40,10 +40,11 @@
 struct FleetState {
   std::map<std::string, PrimaryRecord> records;    ///< In the store, by database.
   std::map<std::string, std::uint64_t> revisions;  ///< Store revisions of the records.
-  std::set<std::string> members;                   ///< All that registered and did not leave.
+  /// All that registered and did not leave, including those whose registration the store has lost.
+  std::set<std::string> members;
   TimePoint era_observed_at;  ///< When this process first saw the present era of the store.
-  /// This process has led without interruption since before the present era began. What the last
-  /// leadership knew is still true, also where the store has lost it.
+  /// This process has led without interruption since before the present era began. The records of
+  /// its last leadership are still true, also where the store has lost them.
   bool uninterrupted = false;
 };
 
--- a/src/leader/primary_authority.cc
+++ b/src/leader/primary_authority.cc
@@ -27,12 +27,8 @@
   const TimePoint now = this->clock.Now();
   const std::uint64_t era = EraOf(new_epoch);
   std::map<std::string, PrimaryRecord> own_records;
-  std::set<std::string> names = state.members;
   if (state.uninterrupted) {
     own_records = this->VerifiedRecords();
-    for (const auto& [name, member] : this->members) {
-      names.insert(name);
-    }
   }
   // Era 0: the store does not report eras. Once a record is verified, all that the store lost has
   // ended.
@@ -53,7 +49,7 @@
   this->leadership_began = now;
   this->members.clear();
   this->databases.clear();
-  this->SetMembers(names);
+  this->SetMembers(state.members);
   for (const auto& [name, record] : state.records) {
     Database& database = this->databases[name];
     database.record.generation = record.generation;
--- a/src/relay_daemon/fleet_leader.cc
+++ b/src/relay_daemon/fleet_leader.cc
@@ -175,11 +175,11 @@
   FleetState state;
   state.era_observed_at = this->era_observed_at;
   state.uninterrupted = this->leadership.Uninterrupted();
-  this->member_revisions.clear();
+  std::map<std::string, std::uint64_t> registrations;
   for (const KeyValue& item : page.items) {
     if (absl::StartsWith(item.key, kMembersPrefix)) {
       const std::string member = item.key.substr(std::string_view(kMembersPrefix).size());
-      this->member_revisions[member] = item.revision;
+      registrations[member] = item.revision;
     } else if (absl::StartsWith(item.key, kPrimariesPrefix)) {
       const std::string name = item.key.substr(std::string_view(kPrimariesPrefix).size());
       if (const std::optional<PrimaryRecord> record = ParsePrimaryRecord(item.value)) {
@@ -190,9 +190,12 @@
       }
     }
   }
-  for (const auto& [name, revision] : this->member_revisions) {
-    state.members.insert(name);
+  if (!state.uninterrupted) {
+    this->member_revisions.clear();
+    this->lost_members.clear();
   }
+  this->ReplaceRegistrations(registrations);
+  state.members = this->Members();
   this->logger.Info("fleet_state",
                     {{"era", absl::StrCat(EraOf(epoch))},
                      {"uninterrupted", state.uninterrupted ? "true" : "false"},
@@ -243,12 +246,33 @@
 }
 
 void FleetLeader::SetMembers(const std::map<std::string, std::uint64_t>& revisions) {
+  this->ReplaceRegistrations(revisions);
+  this->authority.SetMembers(this->Members());
+}
+
+void FleetLeader::ReplaceRegistrations(const std::map<std::string, std::uint64_t>& revisions) {
+  for (const auto& [member, revision] : this->member_revisions) {
+    // Within one era, only a member that has left, or that was silent for long, is removed.
+    if (revisions.count(member) == 0 && EraOf(revision) < this->store_era) {
+      this->logger.Warning("registration_lost", {{"member", member}});
+      this->lost_members.emplace(member, this->clock.Now());
+    }
+  }
   this->member_revisions = revisions;
+  for (const auto& [member, revision] : revisions) {
+    this->lost_members.erase(member);
+  }
+}
+
+std::set<std::string> FleetLeader::Members() const {
   std::set<std::string> names;
-  for (const auto& [name, revision] : revisions) {
+  for (const auto& [name, revision] : this->member_revisions) {
+    names.insert(name);
+  }
+  for (const auto& [name, since] : this->lost_members) {
     names.insert(name);
   }
-  this->authority.SetMembers(names);
+  return names;
 }
 
 void FleetLeader::SetServers(const std::map<std::string, BackendServerRecord>& servers) {
@@ -268,6 +292,14 @@
 }
 
 void FleetLeader::RemoveSilentMembers() {
+  const std::size_t lost = this->lost_members.size();
+  for (auto member = this->lost_members.begin(); member != this->lost_members.end();) {
+    const bool expired = this->clock.Now() - member->second > kRegistrationTimeout;
+    member = expired ? this->lost_members.erase(member) : std::next(member);
+  }
+  if (this->lost_members.size() != lost) {
+    this->authority.SetMembers(this->Members());
+  }
   for (const std::string& member : this->authority.SilentMembers(kRegistrationTimeout)) {
     const auto revision = this->member_revisions.find(member);
     if (revision == this->member_revisions.end()) {
--- a/src/relay_daemon/fleet_leader.h
+++ b/src/relay_daemon/fleet_leader.h
@@ -68,7 +68,12 @@
   /// older copy.
   void ObserveStoreEra(std::uint64_t era);
   /// Replaces the registered members; `revisions` are the store revisions of their registrations.
+  /// A member whose registration was lost by a restore of the store stays a member for
+  /// kRegistrationTimeout, because it may hold grants; it is asked to register again.
   void SetMembers(const std::map<std::string, std::uint64_t>& revisions);
+  bool IsMember(const std::string& member) const {
+    return this->member_revisions.count(member) != 0 || this->lost_members.count(member) != 0;
+  }
   void SetServers(const std::map<std::string, BackendServerRecord>& servers);
   /// Sets the databases. `connection_caps` is the number of connections that one of their backend
   /// servers admits.
@@ -101,6 +106,8 @@
   void ResolveUnknownWrite(const std::string& key, const std::string& value,
                            const std::function<void(PlatformStatus, std::uint64_t)>& done);
   void RemoveSilentMembers();
+  void ReplaceRegistrations(const std::map<std::string, std::uint64_t>& revisions);
+  std::set<std::string> Members() const;
 
   const RelayPlatform& platform;
   const MemberRecord self;
@@ -112,6 +119,8 @@
   Leadership leadership;
   PrimaryAuthority authority;
   std::map<std::string, std::uint64_t> member_revisions;  ///< Store revisions of the registrations.
+  /// Members whose registration the store has lost, and when that was noticed.
+  std::map<std::string, TimePoint> lost_members;
   PrimaryVersions versions;
   std::uint64_t store_era = 0;
   TimePoint era_observed_at;  ///< When `store_era` was first observed.
--- a/src/relay_daemon/fleet_member.cc
+++ b/src/relay_daemon/fleet_member.cc
@@ -146,10 +146,7 @@
   result.reachable = [this](bool reachable) {
     this->logger.Info(reachable ? "store_regained" : "store_lost", {{"keys", kLeaderKey}});
   };
-  result.restored = [this](std::uint64_t era) {
-    this->logger.Warning("store_restored", {{"keys", kLeaderKey}, {"era", absl::StrCat(era)}});
-    this->leader_role.ObserveStoreEra(era);
-  };
+  result.restored = [this](std::uint64_t era) { this->OnStoreRestored(kLeaderKey, era); };
   return result;
 }
 
@@ -159,6 +156,7 @@
   result.synchronized = [] {};
   result.wanted = [this] { return this->leader_role.Leading(); };
   result.reachable = [](bool) {};
+  result.restored = [this](std::uint64_t era) { this->OnStoreRestored(kMembersPrefix, era); };
   return result;
 }
 
@@ -221,6 +219,7 @@
   if (this->leader_role.Leading()) {
     if (now - this->last_notices >= kNoticeInterval) {
       this->NotifySilentMembers();
+      this->ForgetLostMembers();
     }
     this->SendPendingNotices();
   }
@@ -335,11 +334,11 @@
 }
 
 void FleetMember::OnAnswer(const HeartbeatAnswer& answer, TimePoint sent) {
+  if (!answer.registered) {
+    this->RegisterAgain();
+  }
   if (answer.epoch == 0) {
     this->store_in_reach = false;
-    if (!answer.registered) {
-      this->RegisterAgain();
-    }
     return;
   }
   if (!this->MayAcceptGrants() || !this->grants.Adopt(answer.epoch)) {
--- a/src/relay_daemon/fleet_member.h
+++ b/src/relay_daemon/fleet_member.h
@@ -174,6 +174,8 @@
   void RetryRegistration();
   void OnLeaderKey(const StoreEvent& event);
   void OnMemberKey(const StoreEvent& event);
+  void OnStoreRestored(const std::string& keys, std::uint64_t era);
+  void ForgetLostMembers();
   void SetLeader(const MemberRecord& record, std::uint64_t epoch);
   bool MayAcceptGrants() const;
 
@@ -217,7 +219,8 @@
   StoreMirror members_mirror;  ///< Mirror of the registrations; runs only while this process leads.
   PeerServer peer_server;
   std::map<Endpoint, std::unique_ptr<PeerLink>> links;
-  /// Registered members; updated only while this process leads.
+  /// Registered members, and those whose registration the store has lost; updated only while this
+  /// process leads.
   std::map<std::string, MemberRecord> members;
   std::map<std::string, std::uint64_t> member_revisions;
   std::vector<Endpoint> peers;  ///< Other members, as received from the leader or a member.
--- a/src/relay_daemon/fleet_registration.cc
+++ b/src/relay_daemon/fleet_registration.cc
@@ -134,7 +134,12 @@
   }
   const std::string member = key.substr(std::string_view(kMembersPrefix).size());
   if (event.removed) {
-    this->members.erase(member);
+    const auto known = this->member_revisions.find(member);
+    const bool lost =
+        known != this->member_revisions.end() && EraOf(known->second) < EraOf(event.item.revision);
+    if (!lost) {
+      this->members.erase(member);
+    }
     this->member_revisions.erase(member);
   } else if (const std::optional<MemberRecord> record = ParseMemberRecord(event.item.value)) {
     if (this->members.count(member) == 0) {
@@ -153,6 +158,20 @@
   }
 }
 
+void FleetMember::OnStoreRestored(const std::string& keys, std::uint64_t era) {
+  this->logger.Warning("store_restored", {{"keys", keys}, {"era", absl::StrCat(era)}});
+  this->leader_role.ObserveStoreEra(era);
+}
+
+// Forgets the members that have not registered again after the store has lost their registrations.
+void FleetMember::ForgetLostMembers() {
+  for (auto member = this->members.begin(); member != this->members.end();) {
+    const bool known = this->member_revisions.count(member->first) != 0 ||
+                       this->leader_role.IsMember(member->first);
+    member = known ? std::next(member) : this->members.erase(member);
+  }
+}
+
 void FleetMember::SetLeader(const MemberRecord& record, std::uint64_t epoch) {
   if (epoch <= this->leader_epoch) {
     return;
