Let the leader take a newer configuration from its members

What callers would see: after a restore of the store, a restarted leader and the members that start later handle requests as an older configuration says, until the operator's next write. Cause: the leader trusted that the store knows more than the members. A heartbeat carries the member's version, but the leader never looked at it. Change: a leader whose version is lower requests the state of that member. Why it works: versions are the operator's and only grow, so the higher one is the later one whoever knows it.

--- a/src/relay_daemon/fleet_exchange.cc
+++ b/src/relay_daemon/fleet_exchange.cc
@@ -62,9 +62,6 @@
 
 // Queries the leader or, while no leader answers, the seeds and known peers in turn.
 void FleetMember::RequestState() {
-  if (this->state_request_in_flight) {
-    return;
-  }
   const bool leader_answers = this->leader && this->leader->member != this->self.member &&
                               this->clock.Now() - this->last_answer <= kLeaderTimeout;
   std::vector<Endpoint> others = this->seeds;
@@ -73,10 +70,15 @@
   if (others.empty() && !leader_answers) {
     return;
   }
-  const Endpoint target =
-      leader_answers ? this->leader->endpoint : others[this->next_seed++ % others.size()];
+  this->RequestStateFrom(leader_answers ? this->leader->endpoint
+                                        : others[this->next_seed++ % others.size()]);
+}
+
+void FleetMember::RequestStateFrom(const Endpoint& target) {
+  if (std::exchange(this->state_request_in_flight, true)) {
+    return;
+  }
   this->last_state_request = this->clock.Now();
-  this->state_request_in_flight = true;
   this->LinkTo(target).Call("state", "null", kRequestTimeout, [this](const PeerAnswer& reply) {
     this->state_request_in_flight = false;
     const std::optional<SharedState> state =
--- a/src/relay_daemon/fleet_member.cc
+++ b/src/relay_daemon/fleet_member.cc
@@ -92,6 +92,11 @@
       return;
     }
     HeartbeatAnswer answer = this->leader_role.OnHeartbeat(*message);
+    // A restarted leader may have read an older configuration from a store that was restored.
+    const auto sender = this->members.find(message->member);
+    if (message->configuration > this->configuration_version && sender != this->members.end()) {
+      this->RequestStateFrom(sender->second.endpoint);
+    }
     answer.configuration = this->configuration_version;
     answer.servers_version = this->hooks.needs_servers() ? 0 : this->own_servers_version;
     answer.fleet_size = this->members.size();
--- a/src/relay_daemon/fleet_member.h
+++ b/src/relay_daemon/fleet_member.h
@@ -185,6 +185,7 @@
   bool ShouldReport(const std::string& database, const DatabaseReport& report) const;
   void OnAnswer(const HeartbeatAnswer& answer, TimePoint sent);
   void RequestState();
+  void RequestStateFrom(const Endpoint& target);
   void RequestServers(std::uint64_t epoch);
   void OnState(const SharedState& state);
 
