Keep a draining server draining when an older record returns

What callers would see: statements sent to a server that is about to stop, later than the platform's bound after it had announced that. Cause: a record that a restored store holds from before the drain was taken for the server's present state, and the time of the drain started anew. Change: the directory remembers for an hour which start of which server began to drain; a ready record of the same start does not end it. Why it works: a server never returns from a drain without a new start.

--- a/src/include/sycamoredrum/server_directory.h
+++ b/src/include/sycamoredrum/server_directory.h
@@ -13,12 +13,17 @@
 ///
 /// A record may disappear while its server still runs, because its lease expired during an outage
 /// of the store. A server whose record was deleted is therefore kept for kRemovalDelay, unless it
-/// was draining. Not thread-safe.
+/// was draining. A server that was draining stays so until it starts again: a store that returned
+/// from an older copy may hold its earlier record for a while. Not thread-safe.
 class ServerDirectory {
  public:
   /// Servers write expired records again within about 2 s after the store is reachable again.
   static constexpr Duration kRemovalDelay = std::chrono::milliseconds(2500);
 
+  /// How long a drain is remembered after it was last reported; exceeds the age of any copy from
+  /// which the store returns.
+  static constexpr Duration kDrainMemory = std::chrono::hours(1);
+
   /// Receives all records, by server id, after each change.
   using ChangedCallback = std::function<void(const std::map<std::string, BackendServerRecord>&)>;
 
@@ -41,8 +46,16 @@
   const std::map<std::string, BackendServerRecord>& Records() const { return this->records; }
 
  private:
+  struct Drain {
+    std::int64_t started_at_ms = 0;  ///< Start of the server, as in its record.
+    TimePoint observed_at;
+  };
+
+  BackendServerRecord Latest(const BackendServerRecord& record);
+
   const Clock& clock;
   ChangedCallback changed;
+  std::map<std::string, Drain> drains;  ///< By server id.
   std::map<std::string, BackendServerRecord> records;
   std::map<std::string, TimePoint> removed_at;  ///< When each pending removal began, by id.
   bool store_reachable = false;
--- a/src/relay/server_directory.cc
+++ b/src/relay/server_directory.cc
@@ -8,13 +8,27 @@
 ServerDirectory::ServerDirectory(const Clock& clock, ChangedCallback changed)
     : clock(clock), changed(std::move(changed)), reachable_since(clock.Now()) {}
 
+BackendServerRecord ServerDirectory::Latest(const BackendServerRecord& record) {
+  BackendServerRecord result = record;
+  const auto drain = this->drains.find(record.id);
+  const bool began = drain != this->drains.end() && record.started_at_ms != 0 &&
+                     drain->second.started_at_ms == record.started_at_ms;
+  if (record.state == BackendServerState::kDraining) {
+    this->drains[record.id] = Drain{record.started_at_ms, this->clock.Now()};
+  } else if (began) {
+    result.state = BackendServerState::kDraining;
+  }
+  return result;
+}
+
 void ServerDirectory::Put(const BackendServerRecord& record) {
   this->removed_at.erase(record.id);
+  const BackendServerRecord latest = this->Latest(record);
   const auto found = this->records.find(record.id);
-  if (found != this->records.end() && found->second == record) {
+  if (found != this->records.end() && found->second == latest) {
     return;
   }
-  this->records[record.id] = record;
+  this->records[record.id] = latest;
   this->changed(this->records);
 }
 
@@ -33,8 +47,12 @@
 }
 
 void ServerDirectory::Replace(const std::map<std::string, BackendServerRecord>& new_records) {
-  if (new_records != this->records) {
-    this->records = new_records;
+  std::map<std::string, BackendServerRecord> latest;
+  for (const auto& [id, record] : new_records) {
+    latest.emplace(id, this->Latest(record));
+  }
+  if (latest != this->records) {
+    this->records = std::move(latest);
     this->removed_at.clear();
     this->changed(this->records);
   }
@@ -48,6 +66,11 @@
 }
 
 void ServerDirectory::Tick() {
+  const TimePoint now = this->clock.Now();
+  for (auto drain = this->drains.begin(); drain != this->drains.end();) {
+    const bool expired = now - drain->second.observed_at > kDrainMemory;
+    drain = expired ? this->drains.erase(drain) : std::next(drain);
+  }
   if (!this->store_reachable) {
     return;
   }
