Confirm a successor only in a later term than the last primary's

What callers would see: reads at a server that a promotion has not reached yet, and writes that the promotion then discards. Cause: a replaced primary that has not noticed it still answers as the primary. If it is chosen again, the answer before its promotion passed for the promotion's effect. A discovery after a restore that got no answer from the other servers took such a server, too. Change: the authority keeps the latest term that any probe or member reported. A successor is confirmed from the term after it on. After a restore, servers that do not answer within the limit count as failed, and the primary is promoted. The simulated database promoted no server that claims to be the primary; the platform promotes any but the present one, so it does now. Random faults moved into a class that both random tests use, with the same draws as before.

--- a/src/include/sycamoredrum/primary_authority.h
+++ b/src/include/sycamoredrum/primary_authority.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -268,7 +269,7 @@
     bool resume_promotion = false;
     /// The store may have lost the last record; only the servers can tell which of them leads.
     bool unverified = false;
-    std::uint64_t known_term = 0;  ///< Latest term that a member has reported.
+    std::uint64_t known_term = 0;  ///< Latest term that a member or a probe has reported.
     TimePoint phase_started;
     TimePoint last_answer;  ///< When the primary last answered a member or a probe.
     TimePoint last_probe;
@@ -287,6 +288,9 @@
     std::optional<LogPosition> final_position;  ///< End of the old primary's log.
     std::set<std::string> failed_targets;
     std::string target;  ///< Server that the next record names.
+    /// Term from which on `target` leads. A server that has not noticed its replacement still
+    /// claims to be the primary, in an earlier term.
+    std::uint64_t target_term = 0;
     std::string old_server;
     bool call_in_flight = false;
     TimePoint next_call;
@@ -295,6 +299,12 @@
     /// Number of the present or last replacement; late answers of candidates are recognised by it.
     std::uint64_t replacement = 0;
     std::uint64_t step = 0;  ///< Incremented with each phase; late callbacks are recognised by it.
+
+    void ObserveTerm(const BackendProbe& probe) {
+      if (probe.outcome == ProbeOutcome::kAnswered) {
+        this->known_term = std::max(this->known_term, probe.term);
+      }
+    }
   };
 
   std::map<std::string, PrimaryRecord> VerifiedRecords() const;
--- a/src/leader/primary_authority.cc
+++ b/src/leader/primary_authority.cc
@@ -361,6 +361,7 @@
             return;
           }
           current->candidates[id] = probe;
+          current->ObserveTerm(probe);
           if (--current->discovery_probes_in_flight == 0) {
             this->FinishDiscovery(name, *current);
           }
@@ -371,13 +372,9 @@
 void PrimaryAuthority::FinishDiscovery(const std::string& name, Database& database) {
   const std::string* best = nullptr;
   std::uint64_t term = 0;
-  std::uint64_t known_term = database.known_term;
   bool all_answered = true;
   for (const auto& [server, probe] : database.candidates) {
     all_answered = all_answered && probe.outcome != ProbeOutcome::kNoAnswer;
-    if (probe.outcome == ProbeOutcome::kAnswered) {
-      known_term = std::max(known_term, probe.term);
-    }
     if (probe.outcome == ProbeOutcome::kAnswered && probe.role == Role::kPrimary &&
         probe.term >= term) {
       best = &server;
@@ -386,9 +383,9 @@
   }
   const TimePoint began = std::max(database.phase_started, this->lost_promotions_end);
   const bool overdue = this->clock.Now() - began > kDiscoveryLimit;
-  // A server of a later term may be among those that did not answer.
-  const bool certain = !database.unverified || all_answered || overdue;
-  if (best != nullptr && term >= known_term && certain) {
+  // If a record may be lost, a server of a later term may be among those that did not answer.
+  const bool certain = !database.unverified || all_answered;
+  if (best != nullptr && term >= database.known_term && certain) {
     // Nothing is granted before the record is stored: a later leader must find the generation that
     // it has to revoke.
     database.target = *best;
@@ -397,10 +394,13 @@
     this->StoreRecord(name, database);
     return;
   }
-  // No server reports that it leads. The discovery continues until kDiscoveryLimit, and beyond it
-  // while some server, which may lead, gives no answer.
-  if (all_answered && overdue) {
-    this->Replace(name, database, false, "no server of the database leads");
+  // The discovery continues until kDiscoveryLimit. If no leader has ever changed the primary, it
+  // goes on while some server, which may lead, gives no answer; otherwise that server is treated as
+  // a failed primary.
+  if (overdue && (all_answered || database.unverified)) {
+    this->Replace(name, database, false,
+                  all_answered ? "no server of the database leads"
+                               : "not all servers of the database tell which one leads");
   }
 }
 
--- a/src/leader/primary_replacement.cc
+++ b/src/leader/primary_replacement.cc
@@ -139,6 +139,7 @@
     return;
   }
   Database& database = found->second;
+  database.ObserveTerm(probe);
   const bool checking = database.phase == Phase::kServing && database.successor_search_started;
   if (!checking && database.phase != Phase::kRevoke && database.phase != Phase::kSelect) {
     return;
@@ -212,6 +213,8 @@
 void PrimaryAuthority::Choose(const std::string& name, Database& database,
                               const std::string& target) {
   const BackendProbe& probe = database.candidates[target];
+  const bool leads = probe.role == Role::kPrimary && probe.term == database.known_term;
+  database.target_term = leads ? probe.term : database.known_term + 1;
   this->logger.Info(
       "primary_chosen",
       {{"database", name},
@@ -232,6 +235,7 @@
   // Members may have acknowledged the revocation of the generation, so the grants resume under a
   // new one.
   database.target = database.record.server;
+  database.target_term = 0;
   this->Enter(name, database, Phase::kRecord);
   this->StoreRecord(name, database);
 }
@@ -397,7 +401,9 @@
 
 void PrimaryAuthority::OnConfirm(const std::string& name, Database& database,
                                  const BackendProbe& probe, TimePoint sent) {
-  if (probe.outcome != ProbeOutcome::kAnswered || probe.role != Role::kPrimary) {
+  database.ObserveTerm(probe);
+  if (probe.outcome != ProbeOutcome::kAnswered || probe.role != Role::kPrimary ||
+      probe.term < std::max(database.target_term, database.known_term)) {
     database.next_call = this->clock.Now() + kProbeInterval / 5;
     return;
   }
--- a/src/leader/primary_watch.cc
+++ b/src/leader/primary_watch.cc
@@ -141,6 +141,7 @@
     if (current == nullptr) {
       return;
     }
+    current->ObserveTerm(probe);
     if (probe.outcome != ProbeOutcome::kNoAnswer) {
       current->unanswered_probes.clear();
     }
--- a/src/relay/simulated_database_test.h
+++ b/src/relay/simulated_database_test.h
@@ -118,13 +118,15 @@
   void Promote(const std::string& id, Duration delay = std::chrono::milliseconds(300)) {
     this->clock.RunAfter(delay, [this, id] {
       Server& successor = this->servers.at(id);
-      if (successor.down || successor.role == Role::kPrimary) {
-        return;
-      }
       std::uint64_t term = 0;
       for (const auto& [other, server] : this->servers) {
         term = std::max(term, server.term);
       }
+      // Nothing changes for the present primary. An old one that has not noticed its replacement
+      // is promoted like any other server.
+      if (successor.down || (successor.role == Role::kPrimary && successor.term == term)) {
+        return;
+      }
       successor.role = Role::kPrimary;
       successor.term = term + 1;
       this->promotions.push_back(id);
--- a/src/relay_daemon/fleet_simulation_test.cc
+++ b/src/relay_daemon/fleet_simulation_test.cc
@@ -175,6 +175,135 @@
   }
 }
 
+// Guards against the use of a replaced primary that has not noticed its replacement: it is promoted
+// again later, and still claims to be the primary before that has taken effect.
+TEST(FleetSimulationTest, AReplacedPrimaryLeadsOnlyAfterItsPromotion) {
+  SimulatedFleet fleet(4, 4);
+  fleet.long_message_delays = false;
+  fleet.Advance(seconds(5));
+  fleet.database.At(0).silent = true;
+  fleet.Advance(seconds(4));
+  ASSERT_EQ(fleet.promotions, 1);
+  fleet.database.At(0).silent = false;
+  fleet.database.At(1).down = true;
+  fleet.database.At(2).down = true;
+  for (int step = 0; step < 100; ++step) {
+    fleet.Advance(milliseconds(50));
+    for (const auto& node : fleet.nodes) {
+      const std::optional<PrimaryGrant> grant = node->grants.Current("db");
+      ASSERT_TRUE(!grant || grant->server != "db-0" || fleet.database.At(0).term == 3) << step;
+    }
+  }
+  EXPECT_EQ(fleet.promotions, 2);
+  EXPECT_EQ(fleet.MembersWithGrant(), 4U);
+}
+
+/// Injects random faults of all kinds, which overlap, into a fleet of `size` members.
+class RandomFaults {
+ public:
+  RandomFaults(SimulatedFleet& fleet, std::uint64_t seed, int size)
+      : fleet(fleet), random(seed), size(size), copy(fleet.store.Save()) {}
+
+  void Step() {
+    this->fleet.Advance(milliseconds(200 + this->random() % 800));
+    // Most faults end within one to two seconds, so that promotions can complete.
+    if (this->random() % 2 == 0) {
+      this->fleet.store.down = false;
+      this->fleet.store.disconnected.clear();
+    }
+    if (this->random() % 3 == 0) {
+      this->fleet.links_cut.clear();
+    }
+    const int node = static_cast<int>(this->random() % static_cast<std::uint64_t>(this->size));
+    const int other = static_cast<int>(this->random() % static_cast<std::uint64_t>(this->size));
+    const int server = static_cast<int>(this->random() % 3);
+    switch (this->random() % 14) {
+      case 0:
+        this->fleet.StopNode(node);
+        break;
+      case 1:
+      case 2:
+        if (!this->fleet.nodes[static_cast<std::size_t>(node)]) {
+          this->fleet.StartNode(node);
+        }
+        break;
+      case 3:
+        this->fleet.frozen_until[static_cast<std::size_t>(node)] =
+            this->fleet.clock.Now() + milliseconds(this->random() % 9000);
+        break;
+      case 4:
+        this->fleet.store.disconnected.insert(node);
+        break;
+      case 5:
+        this->fleet.store.disconnected.clear();
+        break;
+      case 6:
+        this->fleet.store.down = !this->fleet.store.down;
+        break;
+      case 7:
+        this->fleet.store.Revoke(kLeaderKey);
+        break;
+      case 8:
+        this->fleet.store.lost_answers += 2;
+        break;
+      case 9:
+        this->fleet.store.late_writes += 1;
+        break;
+      case 10:
+        this->fleet.database.At(server).silent = true;
+        break;
+      case 11:
+        this->fleet.database.At(server).silent = false;
+        break;
+      case 12:
+        this->fleet.links_cut.insert({std::min(node, other), std::max(node, other)});
+        break;
+      default:
+        this->fleet.links_cut.clear();
+        break;
+    }
+  }
+
+  /// Saves a copy of the store, or restores the last one, in some of the calls.
+  void SaveOrRestore() {
+    switch (this->random() % 24) {
+      case 0:
+      case 1:
+        this->copy = this->fleet.store.Save();
+        break;
+      case 2:
+        this->fleet.store.Restore(this->copy);
+        break;
+      default:
+        break;
+    }
+  }
+
+  /// Ends all faults.
+  void Heal() {
+    this->fleet.store.down = false;
+    this->fleet.store.disconnected.clear();
+    this->fleet.store.late_writes = 0;
+    this->fleet.store.lost_answers = 0;
+    this->fleet.links_cut.clear();
+    for (int i = 0; i < 3; ++i) {
+      this->fleet.database.At(i).silent = false;
+    }
+    for (int i = 0; i < this->size; ++i) {
+      this->fleet.frozen_until[static_cast<std::size_t>(i)] = this->fleet.clock.Now();
+      if (!this->fleet.nodes[static_cast<std::size_t>(i)]) {
+        this->fleet.StartNode(i);
+      }
+    }
+  }
+
+ private:
+  SimulatedFleet& fleet;
+  std::mt19937_64 random;
+  const int size;
+  FakeStore::Copy copy;
+};
+
 // Overlapping random faults of all kinds. SimulatedFleet::OnPromote checks the invariant.
 TEST(FleetSimulationTest, NoMemberMayUseAReplacedPrimary) {
   constexpr std::uint64_t kSeeds = 120;
@@ -182,82 +311,53 @@
   int promotions = 0;
   for (const std::uint64_t seed : Seeds(kSeeds)) {
     SimulatedFleet fleet(seed, kSize);
-    std::mt19937_64 faults(seed * 7919);
+    RandomFaults faults(fleet, seed * 7919, kSize);
     for (int step = 0; step < 60; ++step) {
-      fleet.Advance(milliseconds(200 + faults() % 800));
-      // Most faults end within one to two seconds, so that promotions can complete.
-      if (faults() % 2 == 0) {
-        fleet.store.down = false;
-        fleet.store.disconnected.clear();
-      }
-      if (faults() % 3 == 0) {
-        fleet.links_cut.clear();
-      }
-      const int node = static_cast<int>(faults() % kSize);
-      const int other = static_cast<int>(faults() % kSize);
-      const int server = static_cast<int>(faults() % 3);
-      switch (faults() % 14) {
-        case 0:
-          fleet.StopNode(node);
-          break;
-        case 1:
-        case 2:
-          if (!fleet.nodes[static_cast<std::size_t>(node)]) {
-            fleet.StartNode(node);
-          }
-          break;
-        case 3:
-          fleet.frozen_until[static_cast<std::size_t>(node)] =
-              fleet.clock.Now() + milliseconds(faults() % 9000);
-          break;
-        case 4:
-          fleet.store.disconnected.insert(node);
-          break;
-        case 5:
-          fleet.store.disconnected.clear();
-          break;
-        case 6:
-          fleet.store.down = !fleet.store.down;
-          break;
-        case 7:
-          fleet.store.Revoke(kLeaderKey);
-          break;
-        case 8:
-          fleet.store.lost_answers += 2;
-          break;
-        case 9:
-          fleet.store.late_writes += 1;
-          break;
-        case 10:
-          fleet.database.At(server).silent = true;
-          break;
-        case 11:
-          fleet.database.At(server).silent = false;
-          break;
-        case 12:
-          fleet.links_cut.insert({std::min(node, other), std::max(node, other)});
-          break;
-        default:
-          fleet.links_cut.clear();
-          break;
-      }
+      faults.Step();
     }
     promotions += fleet.promotions;
-    // All faults end; the fleet must recover.
-    fleet.store.down = false;
-    fleet.store.disconnected.clear();
-    fleet.store.late_writes = 0;
-    fleet.store.lost_answers = 0;
-    fleet.links_cut.clear();
-    for (int i = 0; i < 3; ++i) {
-      fleet.database.At(i).silent = false;
+    // The fleet must recover after the end of all faults.
+    faults.Heal();
+    fleet.Advance(seconds(25));
+    EXPECT_EQ(fleet.MembersWithGrant(), static_cast<std::size_t>(kSize));
+    if (testing::Test::HasFailure()) {
+      fleet.PrintLog();
+      FAIL() << "seed " << seed;
     }
-    for (int i = 0; i < kSize; ++i) {
-      fleet.frozen_until[static_cast<std::size_t>(i)] = fleet.clock.Now();
-      if (!fleet.nodes[static_cast<std::size_t>(i)]) {
-        fleet.StartNode(i);
+  }
+  EXPECT_TRUE(promotions > 50 || std::getenv("SYCAMOREDRUM_SEED") != nullptr)
+      << "the faults must lead to promotions";
+}
+
+// The same with a store that returns from older copies, from the first start of the fleet on. At no
+// time may a member use a server while another one leads in a later term.
+TEST(FleetSimulationTest, NoMemberMayUseAReplacedPrimaryAfterARestore) {
+  constexpr std::uint64_t kSeeds = 120;
+  constexpr int kSize = 5;
+  int promotions = 0;
+  for (const std::uint64_t seed : Seeds(kSeeds)) {
+    SimulatedFleet fleet(seed, kSize);
+    fleet.store.Restore(FakeStore::Copy{});
+    RandomFaults faults(fleet, seed * 7919, kSize);
+    for (int step = 0; step < 60; ++step) {
+      faults.Step();
+      faults.SaveOrRestore();
+      std::uint64_t term = 0;
+      for (const auto& [id, server] : fleet.database.servers) {
+        term = std::max(term, server.term);
+      }
+      for (const auto& node : fleet.nodes) {
+        const std::optional<PrimaryGrant> grant =
+            node ? node->grants.Current("db") : std::optional<PrimaryGrant>();
+        EXPECT_TRUE(!grant || fleet.database.servers.at(grant->server).term == term)
+            << "member " << node->number << " may use " << grant->server;
+      }
+      if (testing::Test::HasFailure()) {
+        break;
       }
     }
+    promotions += fleet.promotions;
+    faults.Heal();
     fleet.Advance(seconds(25));
     EXPECT_EQ(fleet.MembersWithGrant(), static_cast<std::size_t>(kSize));
     if (testing::Test::HasFailure()) {
--- a/src/relay_daemon/simulated_fleet_test.h
+++ b/src/relay_daemon/simulated_fleet_test.h
@@ -324,6 +324,9 @@
 }
 
 inline void Node::OnAnswer(const HeartbeatAnswer& answer, TimePoint sent) {
+  if (!answer.registered) {
+    this->fleet.store.Put(kMembersPrefix + this->self.member, ToJson(this->self));
+  }
   if (answer.epoch == 0 || !this->MayAcceptGrants() || !this->grants.Adopt(answer.epoch)) {
     return;
   }
