Keep the term of a primary in its record

Cause: the latest term was known to the old leader only. The next one learned it from members that had used the primary, if any, and otherwise took the answer of a server that had not noticed its replacement for the effect of its promotion. Change: the record of a primary holds the term from which its server leads.

--- a/src/include/sycamoredrum/primary_authority.h
+++ b/src/include/sycamoredrum/primary_authority.h
@@ -30,11 +30,12 @@
   /// Era of the store in which the record was verified, which means that no decision or grant from
   /// before that era is missing in the store and still in effect. 0: not verified in any era.
   std::uint64_t verified_era = 0;
+  std::uint64_t term = 0;  ///< The server leads in this term of the database or a later one.
 };
 
 inline bool operator==(const PrimaryRecord& a, const PrimaryRecord& b) {
-  return std::tie(a.server, a.generation, a.serving, a.verified_era) ==
-         std::tie(b.server, b.generation, b.serving, b.verified_era);
+  return std::tie(a.server, a.generation, a.serving, a.verified_era, a.term) ==
+         std::tie(b.server, b.generation, b.serving, b.verified_era, b.term);
 }
 
 /// What a new leader knows of the decisions of earlier leaders.
@@ -269,7 +270,7 @@
     bool resume_promotion = false;
     /// The store may have lost the last record; only the servers can tell which of them leads.
     bool unverified = false;
-    std::uint64_t known_term = 0;  ///< Latest term that a member or a probe has reported.
+    std::uint64_t known_term = 0;  ///< Latest term in the record or a report of a member or server.
     TimePoint phase_started;
     TimePoint last_answer;  ///< When the primary last answered a member or a probe.
     TimePoint last_probe;
--- a/src/leader/primary_authority.cc
+++ b/src/leader/primary_authority.cc
@@ -53,6 +53,7 @@
   for (const auto& [name, record] : state.records) {
     Database& database = this->databases[name];
     database.record.generation = record.generation;
+    database.known_term = record.term;
     database.record_revision = state.revisions.at(name);
     if (record.verified_era == era) {
       database.record = record;
@@ -62,6 +63,7 @@
   }
   for (const auto& [name, record] : own_records) {
     this->databases[name].record = record;
+    this->databases[name].known_term = record.term;
     this->databases[name].unverified = false;
   }
   this->SetDatabases(this->connection_caps);
@@ -75,6 +77,7 @@
       // The former leader may have called the platform already. The call is repeated for the same
       // server once no earlier leader can still send one.
       database.target = database.record.server;
+      database.target_term = database.record.term;
       database.resume_promotion = true;
       this->Enter(name, database, Phase::kRevoke);
       this->AwaitAllMembers(database);
@@ -389,6 +392,7 @@
     // Nothing is granted before the record is stored: a later leader must find the generation that
     // it has to revoke.
     database.target = *best;
+    database.target_term = term;
     database.target_leads = true;
     this->Enter(name, database, Phase::kRecord);
     this->StoreRecord(name, database);
--- a/src/leader/primary_replacement.cc
+++ b/src/leader/primary_replacement.cc
@@ -11,6 +11,7 @@
 // server stays the primary, under a new generation that members accept.
 void PrimaryAuthority::RenewGeneration(const std::string& name, Database& database) {
   database.target = database.record.server;
+  database.target_term = database.record.term;
   database.target_leads = true;
   this->Enter(name, database, Phase::kRecord);
   this->StoreRecord(name, database);
@@ -235,7 +236,7 @@
   // Members may have acknowledged the revocation of the generation, so the grants resume under a
   // new one.
   database.target = database.record.server;
-  database.target_term = 0;
+  database.target_term = database.record.term;
   this->Enter(name, database, Phase::kRecord);
   this->StoreRecord(name, database);
 }
@@ -249,7 +250,7 @@
   }
   database.call_in_flight = true;
   const PrimaryRecord record{database.target, this->NextGeneration(database), database.target_leads,
-                             this->VerifiedEra()};
+                             this->VerifiedEra(), database.target_term};
   this->hooks.store_record(
       name, record, database.record_revision,
       [this, name, record, step = database.step, weak = std::weak_ptr<bool>(this->alive)](
@@ -412,6 +413,7 @@
     this->hooks.demote(*old_server, probe.term);
   }
   database.record.serving = true;
+  database.record.term = probe.term;
   database.newest = PositionObservation{probe.received, sent};
   database.hand_over_not_before = this->clock.Now() + kHandOverPause;
   this->Enter(name, database, Phase::kServing);
--- a/src/relay_daemon/fleet_messages.cc
+++ b/src/relay_daemon/fleet_messages.cc
@@ -61,13 +61,15 @@
   return {{"server", record.server},
           {"generation", record.generation},
           {"serving", record.serving},
-          {"verified_era", record.verified_era}};
+          {"verified_era", record.verified_era},
+          {"term", record.term}};
 }
 
 PrimaryRecord DecodePrimary(const Json& json) {
   return PrimaryRecord{json.at("server").get<std::string>(),
                        json.at("generation").get<std::uint64_t>(), json.at("serving").get<bool>(),
-                       json.value("verified_era", std::uint64_t{0})};
+                       json.value("verified_era", std::uint64_t{0}),
+                       json.value("term", std::uint64_t{0})};
 }
 
 Json ServerJson(const BackendServerRecord& record) {
