End the relay's connections to the platform before its event loop

What operators saw: at the end of a graceful stop the process sometimes ended with status 134 or 139 instead of 0, after every answer had been sent. Cause: the command owned the platform adapter and created it inside the daemon, so the adapter, with its idle connections, was destroyed after the event loop that they run on. Whether the freed memory was still intact was chance. Evidence: AddressSanitizer, six of six graceful stops: heap-use-after-free in the destructor of HttpClient's idle streams, freed by the event loop's service. Change: the hooks own their implementation, so the daemon destroys it before the loop. Ruled out: the change of wording and the sanitizers' own builds (the first report of a jump to address 0 came from objects that were compiled while files changed).

--- a/src/include/sycamoredrum/relay_daemon.h
+++ b/src/include/sycamoredrum/relay_daemon.h
@@ -12,8 +12,8 @@
 
 namespace sycamoredrum {
 
-/// Creates the platform's hooks, which run on the daemon's event loop. The result must stay valid
-/// while the loop runs.
+/// Creates the platform's hooks, which run on the daemon's event loop. The daemon destroys the
+/// result before the loop.
 using MakeRelayPlatform = std::function<RelayPlatform(EventLoop&, Metrics&, const RelaySettings&)>;
 
 /// Reloads the settings. Returns nothing if they are invalid and then describes the errors in
--- a/src/include/sycamoredrum/relay_platform.h
+++ b/src/include/sycamoredrum/relay_platform.h
@@ -37,6 +37,9 @@
 /// types of this project. Implementations only convert; decisions are left to the code that uses
 /// them.
 struct RelayPlatform {
+  /// Owns what the functions below use, such as connections. It must be destroyed before the event
+  /// loop.
+  std::shared_ptr<const void> implementation;
   CoordinationStore store;
   OpenBackendChannel open_channel;
   /// Requests the status of a backend server.
--- a/src/sycamoredrum/command_relay.cc
+++ b/src/sycamoredrum/command_relay.cc
@@ -81,13 +81,10 @@
     fmt::print(stderr, "{}\n", findings.ToString());
     return kExitUsage;
   }
-  std::unique_ptr<platform::Adapter> adapter;
   RelayDaemon daemon(
       *settings,
-      [&adapter](EventLoop& loop, Metrics& metrics, const RelaySettings& in_use) {
-        adapter = std::make_unique<platform::Adapter>(loop, in_use.store_address,
-                                                      in_use.duty_address, metrics);
-        return adapter->Hooks();
+      [](EventLoop& loop, Metrics& metrics, const RelaySettings& in_use) {
+        return platform::MakePlatform(loop, in_use.store_address, in_use.duty_address, metrics);
       },
       [&file](std::string& problems) { return file.ReadIfChanged(problems); });
   if (!daemon.Start()) {
