Trust a record of the present era at once, and settle the grants apart

What callers saw: a transaction that was open while the leadership changed within seven seconds after the first start, or after a restore, was aborted with "the primary is being replaced". Cause: one mark said both that no later record is lost and that all earlier grants have ended. The second is only known after 7 s, so until then each new leader asked the servers again and gave the same primary a new generation. Change: a record carries the era in which it was written, which makes it trustworthy, and whether earlier grants had ended, which allows revocations to complete. A leader that keeps its records after a restore stores them in the new era at once.

--- a/src/include/sycamoredrum/primary_authority.h
+++ b/src/include/sycamoredrum/primary_authority.h
@@ -27,15 +27,19 @@
   std::string server;
   std::uint64_t generation = 0;  ///< Grows with each change.
   bool serving = false;  ///< False: the server was chosen, but it is not confirmed that it leads.
-  /// Era of the store in which the record was verified, which means that no decision or grant from
-  /// before that era is missing in the store and still in effect. 0: not verified in any era.
-  std::uint64_t verified_era = 0;
-  std::uint64_t term = 0;  ///< The server leads in this term of the database or a later one.
+  std::uint64_t term =
+      0;  ///< Latest known term of the database; the server leads in it or a later one.
+  /// Era of the store in which the record was written. Only then is it known that the store has not
+  /// lost a later one.
+  std::uint64_t era = 0;
+  /// True if every grant from before that era had ended when the record was written. The store may
+  /// have lost the registrations of members that held such grants.
+  bool settled = false;
 };
 
 inline bool operator==(const PrimaryRecord& a, const PrimaryRecord& b) {
-  return std::tie(a.server, a.generation, a.serving, a.verified_era, a.term) ==
-         std::tie(b.server, b.generation, b.serving, b.verified_era, b.term);
+  return std::tie(a.server, a.generation, a.serving, a.term, a.era, a.settled) ==
+         std::tie(b.server, b.generation, b.serving, b.term, b.era, b.settled);
 }
 
 /// What a new leader knows of the decisions of earlier leaders.
@@ -142,10 +146,11 @@
 /// stored; the platform is requested to promote it; it confirms that it leads. A new leader that
 /// finds a record that is not serving repeats the last two steps.
 ///
-/// The store may return from an older copy and lose records and registrations. In each new era of
-/// the store, records are therefore not trusted until a leader has verified them: it asks the
-/// servers which one leads, after every promotion that an earlier leader may have requested, and
-/// stores the records again once every grant of earlier leaders has ended. Not thread-safe.
+/// The store may return from an older copy and lose records and registrations. A record of an
+/// earlier era of the store is therefore not trusted: a new leader asks the servers which one
+/// leads, once no promotion that an earlier leader requested can take effect any more. Until a
+/// record of the present era is settled, no other server is promoted before all earlier grants must
+/// have ended. Not thread-safe.
 class PrimaryAuthority {
  public:
   /// Validity of a grant, counted from when the member sent its heartbeat.
@@ -210,8 +215,8 @@
   /// A promotion call may take effect this long after its leader stopped leading; the timeout of
   /// the call.
   static constexpr Duration kPromotionCallLimit = std::chrono::milliseconds(1000);
-  /// Interval between attempts to store a record as verified.
-  static constexpr Duration kVerificationInterval = std::chrono::seconds(1);
+  /// Interval between attempts to store a record in the present era, or as settled.
+  static constexpr Duration kRecordRefreshInterval = std::chrono::seconds(1);
   /// Bits of a generation that count within one era of the store. The first generation of an era
   /// exceeds all of earlier eras, including those of lost records.
   static constexpr int kGenerationBits = 32;
@@ -269,8 +274,10 @@
     /// The record of an earlier leader is not serving; only the promotion is left to do.
     bool resume_promotion = false;
     /// The store may have lost the last record; only the servers can tell which of them leads.
-    bool unverified = false;
-    std::uint64_t known_term = 0;  ///< Latest term in the record or a report of a member or server.
+    bool record_lost = false;
+    /// Latest term in the record or in a report of a member or server. A server that claims to be
+    /// the primary in an earlier term has not noticed its replacement.
+    std::uint64_t known_term = 0;
     TimePoint phase_started;
     TimePoint last_answer;  ///< When the primary last answered a member or a probe.
     TimePoint last_probe;
@@ -289,13 +296,10 @@
     std::optional<LogPosition> final_position;  ///< End of the old primary's log.
     std::set<std::string> failed_targets;
     std::string target;  ///< Server that the next record names.
-    /// Term from which on `target` leads. A server that has not noticed its replacement still
-    /// claims to be the primary, in an earlier term.
-    std::uint64_t target_term = 0;
     std::string old_server;
     bool call_in_flight = false;
     TimePoint next_call;
-    TimePoint next_verification;
+    TimePoint next_refresh;
     std::optional<PositionObservation> newest;
     /// Number of the present or last replacement; late answers of candidates are recognised by it.
     std::uint64_t replacement = 0;
@@ -308,7 +312,7 @@
     }
   };
 
-  std::map<std::string, PrimaryRecord> VerifiedRecords() const;
+  std::map<std::string, PrimaryRecord> TrustedRecords() const;
   void Enter(const std::string& name, Database& database, Phase phase);
   void Discover(const std::string& name, Database& database);
   void FinishDiscovery(const std::string& name, Database& database);
@@ -338,9 +342,9 @@
   void OnRecordStored(const std::string& name, Database& database, const PrimaryRecord& record,
                       PlatformStatus status, std::uint64_t revision);
   void StoreServing(const std::string& name, const Database& database);
-  void VerifyRecord(const std::string& name, Database& database);
+  void RefreshRecord(const std::string& name, Database& database);
   std::uint64_t NextGeneration(const Database& database) const;
-  std::uint64_t VerifiedEra() const;
+  bool Settled() const { return this->clock.Now() >= this->settled_from; }
   void Promote(const std::string& name, Database& database);
   void OnPromote(const std::string& name, Database& database, PromoteOutcome outcome);
   void Confirm(const std::string& name, Database& database);
@@ -365,7 +369,7 @@
   TimePoint lost_promotions_end;
   /// Until then, members that this leader does not know may hold grants.
   TimePoint lost_grants_end;
-  TimePoint verified_from;  ///< Records are stored as verified from then on.
+  TimePoint settled_from;  ///< Records are stored as settled from then on.
   std::map<std::string, BackendServerRecord> servers;
   std::map<std::string, Member> members;
   std::map<std::string, Database> databases;
--- a/src/leader/primary_authority.cc
+++ b/src/leader/primary_authority.cc
@@ -20,7 +20,7 @@
       leadership_began(clock.Now()),
       lost_promotions_end(clock.Now()),
       lost_grants_end(clock.Now()),
-      verified_from(clock.Now()),
+      settled_from(clock.Now()),
       shares_at(clock.Now()) {}
 
 void PrimaryAuthority::Begin(std::uint64_t new_epoch, const FleetState& state) {
@@ -28,21 +28,20 @@
   const std::uint64_t era = EraOf(new_epoch);
   std::map<std::string, PrimaryRecord> own_records;
   if (state.uninterrupted) {
-    own_records = this->VerifiedRecords();
+    own_records = this->TrustedRecords();
   }
-  // Era 0: the store does not report eras. Once a record is verified, all that the store lost has
-  // ended.
-  const bool verified =
+  // Era 0: the store does not report eras.
+  const bool settled =
       era == 0 || std::any_of(state.records.begin(), state.records.end(), [era](const auto& entry) {
-        return entry.second.verified_era == era;
+        return entry.second.era == era && entry.second.settled;
       });
   const TimePoint last_lease_end = state.era_observed_at + this->predecessor_lease;
-  this->verified_from = verified ? now : last_lease_end + kGrantValidity;
-  if (verified) {
+  this->settled_from = settled ? now : last_lease_end + kGrantValidity;
+  if (settled) {
     this->lost_grants_end = now;
     this->lost_promotions_end = now;
   } else if (!state.uninterrupted) {
-    this->lost_grants_end = this->verified_from;
+    this->lost_grants_end = this->settled_from;
     this->lost_promotions_end = last_lease_end + kPromotionCallLimit;
   }
   this->epoch = new_epoch;
@@ -55,21 +54,21 @@
     database.record.generation = record.generation;
     database.known_term = record.term;
     database.record_revision = state.revisions.at(name);
-    if (record.verified_era == era) {
+    if (record.era == era) {
       database.record = record;
     } else {
-      database.unverified = true;
+      database.record_lost = true;
     }
   }
   for (const auto& [name, record] : own_records) {
     this->databases[name].record = record;
     this->databases[name].known_term = record.term;
-    this->databases[name].unverified = false;
+    this->databases[name].record_lost = false;
   }
   this->SetDatabases(this->connection_caps);
   for (auto& [name, database] : this->databases) {
     if (database.record.server.empty()) {
-      database.unverified = era != 0;
+      database.record_lost = era != 0;
       this->Enter(name, database, Phase::kDiscover);
     } else if (database.record.serving) {
       this->Enter(name, database, Phase::kServing);
@@ -77,7 +76,6 @@
       // The former leader may have called the platform already. The call is repeated for the same
       // server once no earlier leader can still send one.
       database.target = database.record.server;
-      database.target_term = database.record.term;
       database.resume_promotion = true;
       this->Enter(name, database, Phase::kRevoke);
       this->AwaitAllMembers(database);
@@ -93,8 +91,8 @@
   }
 }
 
-// The records that this process has read as verified or has written itself.
-std::map<std::string, PrimaryRecord> PrimaryAuthority::VerifiedRecords() const {
+// The records that were written in the present era or by this process.
+std::map<std::string, PrimaryRecord> PrimaryAuthority::TrustedRecords() const {
   std::map<std::string, PrimaryRecord> result;
   for (const auto& [name, database] : this->databases) {
     if (!database.record.server.empty()) {
@@ -301,7 +299,7 @@
         this->Discover(name, database);
         break;
       case Phase::kServing:
-        this->VerifyRecord(name, database);
+        this->RefreshRecord(name, database);
         this->CheckPrimary(name, database);
         break;
       case Phase::kRevoke:
@@ -387,12 +385,11 @@
   const TimePoint began = std::max(database.phase_started, this->lost_promotions_end);
   const bool overdue = this->clock.Now() - began > kDiscoveryLimit;
   // If a record may be lost, a server of a later term may be among those that did not answer.
-  const bool certain = !database.unverified || all_answered;
+  const bool certain = !database.record_lost || all_answered;
   if (best != nullptr && term >= database.known_term && certain) {
     // Nothing is granted before the record is stored: a later leader must find the generation that
     // it has to revoke.
     database.target = *best;
-    database.target_term = term;
     database.target_leads = true;
     this->Enter(name, database, Phase::kRecord);
     this->StoreRecord(name, database);
@@ -401,7 +398,7 @@
   // The discovery continues until kDiscoveryLimit. If no leader has ever changed the primary, it
   // goes on while some server, which may lead, gives no answer; otherwise that server is treated as
   // a failed primary.
-  if (overdue && (all_answered || database.unverified)) {
+  if (overdue && (all_answered || database.record_lost)) {
     this->Replace(name, database, false,
                   all_answered ? "no server of the database leads"
                                : "not all servers of the database tell which one leads");
--- a/src/leader/primary_replacement.cc
+++ b/src/leader/primary_replacement.cc
@@ -11,7 +11,6 @@
 // server stays the primary, under a new generation that members accept.
 void PrimaryAuthority::RenewGeneration(const std::string& name, Database& database) {
   database.target = database.record.server;
-  database.target_term = database.record.term;
   database.target_leads = true;
   this->Enter(name, database, Phase::kRecord);
   this->StoreRecord(name, database);
@@ -214,8 +213,6 @@
 void PrimaryAuthority::Choose(const std::string& name, Database& database,
                               const std::string& target) {
   const BackendProbe& probe = database.candidates[target];
-  const bool leads = probe.role == Role::kPrimary && probe.term == database.known_term;
-  database.target_term = leads ? probe.term : database.known_term + 1;
   this->logger.Info(
       "primary_chosen",
       {{"database", name},
@@ -236,7 +233,6 @@
   // Members may have acknowledged the revocation of the generation, so the grants resume under a
   // new one.
   database.target = database.record.server;
-  database.target_term = database.record.term;
   this->Enter(name, database, Phase::kRecord);
   this->StoreRecord(name, database);
 }
@@ -249,8 +245,9 @@
     return;
   }
   database.call_in_flight = true;
-  const PrimaryRecord record{database.target, this->NextGeneration(database), database.target_leads,
-                             this->VerifiedEra(), database.target_term};
+  const PrimaryRecord record{database.target,       this->NextGeneration(database),
+                             database.target_leads, database.known_term,
+                             EraOf(this->epoch),    this->Settled()};
   this->hooks.store_record(
       name, record, database.record_revision,
       [this, name, record, step = database.step, weak = std::weak_ptr<bool>(this->alive)](
@@ -281,7 +278,7 @@
   }
   database.record = record;
   database.record_revision = revision;
-  database.unverified = false;
+  database.record_lost = false;
   database.newest.reset();
   if (std::exchange(database.target_leads, false)) {
     this->Enter(name, database, Phase::kServing);
@@ -293,10 +290,11 @@
 }
 
 // An optimization that nothing depends on: a later leader that finds the record serving does not
-// repeat the promotion, and one that finds it verified does not ask the servers.
+// repeat the promotion, and one that finds it in the present era does not ask the servers.
 void PrimaryAuthority::StoreServing(const std::string& name, const Database& database) {
   PrimaryRecord record = database.record;
-  record.verified_era = this->VerifiedEra();
+  record.era = EraOf(this->epoch);
+  record.settled = this->Settled();
   this->hooks.store_record(
       name, record, database.record_revision,
       [this, name, record, weak = std::weak_ptr<bool>(this->alive)](PlatformStatus status,
@@ -309,17 +307,20 @@
             found != this->databases.end() && found->second.record.generation == record.generation;
         if (current && status == PlatformStatus::kOk) {
           found->second.record_revision = revision;
-          found->second.record.verified_era = record.verified_era;
+          found->second.record.era = record.era;
+          found->second.record.settled = record.settled;
         } else if (current && status == PlatformStatus::kConflict && revision > 0) {
           found->second.record_revision = revision;
         }
       });
 }
 
-void PrimaryAuthority::VerifyRecord(const std::string& name, Database& database) {
+void PrimaryAuthority::RefreshRecord(const std::string& name, Database& database) {
   const TimePoint now = this->clock.Now();
-  if (database.record.verified_era != this->VerifiedEra() && now >= database.next_verification) {
-    database.next_verification = now + kVerificationInterval;
+  const bool current =
+      database.record.era == EraOf(this->epoch) && database.record.settled == this->Settled();
+  if (!current && now >= database.next_refresh) {
+    database.next_refresh = now + kRecordRefreshInterval;
     this->StoreServing(name, database);
   }
 }
@@ -328,10 +329,6 @@
   return std::max(database.record.generation + 1, EraOf(this->epoch) << kGenerationBits);
 }
 
-std::uint64_t PrimaryAuthority::VerifiedEra() const {
-  return this->clock.Now() >= this->verified_from ? EraOf(this->epoch) : 0;
-}
-
 void PrimaryAuthority::Promote(const std::string& name, Database& database) {
   const TimePoint now = this->clock.Now();
   if (database.call_in_flight || now < database.next_call) {
@@ -404,7 +401,7 @@
                                  const BackendProbe& probe, TimePoint sent) {
   database.ObserveTerm(probe);
   if (probe.outcome != ProbeOutcome::kAnswered || probe.role != Role::kPrimary ||
-      probe.term < std::max(database.target_term, database.known_term)) {
+      probe.term < database.known_term) {
     database.next_call = this->clock.Now() + kProbeInterval / 5;
     return;
   }
--- a/src/relay_daemon/fleet_messages.cc
+++ b/src/relay_daemon/fleet_messages.cc
@@ -58,18 +58,16 @@
 }
 
 Json PrimaryJson(const PrimaryRecord& record) {
-  return {{"server", record.server},
-          {"generation", record.generation},
-          {"serving", record.serving},
-          {"verified_era", record.verified_era},
-          {"term", record.term}};
+  return {{"server", record.server},   {"generation", record.generation},
+          {"serving", record.serving}, {"term", record.term},
+          {"era", record.era},         {"settled", record.settled}};
 }
 
 PrimaryRecord DecodePrimary(const Json& json) {
-  return PrimaryRecord{json.at("server").get<std::string>(),
-                       json.at("generation").get<std::uint64_t>(), json.at("serving").get<bool>(),
-                       json.value("verified_era", std::uint64_t{0}),
-                       json.value("term", std::uint64_t{0})};
+  return PrimaryRecord{
+      json.at("server").get<std::string>(), json.at("generation").get<std::uint64_t>(),
+      json.at("serving").get<bool>(),       json.value("term", std::uint64_t{0}),
+      json.value("era", std::uint64_t{0}),  json.value("settled", false)};
 }
 
 Json ServerJson(const BackendServerRecord& record) {
