--- a/testsuite/relay/relay_test.cc
+++ b/testsuite/relay/relay_test.cc
@@ -324,6 +324,21 @@
   }
 }
 
+// Guards against relays that do not register again after the store has lost their registrations:
+// a leader would neither grant them primaries nor wait for their grants.
+TEST_F(RelayTest, RelaysRegisterAgainAfterTheStoreLostAllKeys) {
+  ASSERT_TRUE(this->WriteEventually(0, "a", "before"));
+  this->platform.RestoreStore();
+  this->platform.Configure(9, {"place=primary"});
+  for (const char* name : {"r1", "r2"}) {
+    const std::string key = std::string("sycamoredrum/members/") + name;
+    EXPECT_TRUE(Eventually([&] { return this->platform.HasKey(key); })) << name;
+  }
+  EXPECT_TRUE(this->WriteEventually(0, "a", "through the first"));
+  EXPECT_TRUE(this->WriteEventually(1, "a", "through the second"));
+  EXPECT_EQ(this->platform.Promotions(), 0);
+}
+
 // Guards against a leader that reads an older configuration from a restored store after a restart
 // and never learns the newer one that the other members use.
 TEST_F(RelayTest, RestartedLeaderTakesTheNewerConfigurationOfTheMembers) {
--- a/testsuite/relay/standin_users_platform.cc
+++ b/testsuite/relay/standin_users_platform.cc
@@ -496,6 +496,11 @@
   this->state->RunOnLoop<bool>([this] {
     this->state->store = this->state->copy;
     ++this->state->era;
+    for (const State::BackendServer& server : this->state->backend_servers) {
+      if (server.running) {
+        this->state->Register(server);
+      }
+    }
     return true;
   });
 }
--- a/testsuite/relay/standin_users_platform.h
+++ b/testsuite/relay/standin_users_platform.h
@@ -40,10 +40,10 @@
   /// Makes the store and the promotion call answer with status 503, or ends that.
   void SetStoreDown(bool down);
 
-  /// Saves a copy of the store.
+  /// Saves a copy of the store. Until then, the copy is empty.
   void SaveStore();
   /// Replaces the content of the store by the saved copy: keys, leases and revisions go back, and
-  /// the era that the store reports rises by one.
+  /// the era that the store reports rises by one. Running backend servers register again.
   void RestoreStore();
 
   /// True if the store holds the key.
