Keep the memory of a leadership only if it had begun

Cause: a leader that was elected again after a restore kept the records of its last leadership, also if that one had ended before it had loaded any. The memory was then that of a much earlier leadership. Evidence: found by reading; FleetSimulationTest. ALeadershipThatNeverBeganHasNoMemoryToKeep failed before. Change: the memory counts only if the interrupted leadership had begun.

--- a/src/include/sycamoredrum/primary_authority.h
+++ b/src/include/sycamoredrum/primary_authority.h
@@ -27,8 +27,8 @@
   std::string server;
   std::uint64_t generation = 0;  ///< Grows with each change.
   bool serving = false;  ///< False: the server was chosen, but it is not confirmed that it leads.
-  std::uint64_t term =
-      0;  ///< Latest known term of the database; the server leads in it or a later one.
+  /// Latest known term of the database; the server leads in it or a later one.
+  std::uint64_t term = 0;
   /// Era of the store in which the record was written. Only then is it known that the store has not
   /// lost a later one.
   std::uint64_t era = 0;
--- a/src/relay_daemon/fleet_leader.cc
+++ b/src/relay_daemon/fleet_leader.cc
@@ -57,6 +57,7 @@
   result.lost = [this](const std::string& reason) {
     this->logger.Warning("leadership_lost", {{"reason", reason}});
     this->metrics.Set(Metric::kLeadership, {}, 0);
+    this->last_leadership_began = this->authority.Active();
     this->authority.End();
   };
   result.is_predecessor = [this](const std::string& value) {
@@ -174,7 +175,7 @@
   this->ObserveStoreEra(EraOf(epoch));
   FleetState state;
   state.era_observed_at = this->era_observed_at;
-  state.uninterrupted = this->leadership.Uninterrupted();
+  state.uninterrupted = this->leadership.Uninterrupted() && this->last_leadership_began;
   std::map<std::string, std::uint64_t> registrations;
   for (const KeyValue& item : page.items) {
     if (absl::StartsWith(item.key, kMembersPrefix)) {
--- a/src/relay_daemon/fleet_leader.h
+++ b/src/relay_daemon/fleet_leader.h
@@ -122,6 +122,7 @@
   /// Members whose registration the store has lost, and when that was noticed.
   std::map<std::string, TimePoint> lost_members;
   PrimaryVersions versions;
+  bool last_leadership_began = false;  ///< The last leadership had loaded the fleet's state.
   std::uint64_t store_era = 0;
   TimePoint era_observed_at;  ///< When `store_era` was first observed.
   TimePoint last_cleanup;
--- a/src/relay_daemon/fleet_simulation_test.cc
+++ b/src/relay_daemon/fleet_simulation_test.cc
@@ -147,6 +147,28 @@
   }
 }
 
+// Guards against trust in the memory of an earlier leadership: the last one ended before it had
+// loaded the fleet's state, because the store was restored again.
+TEST(FleetSimulationTest, ALeadershipThatNeverBeganHasNoMemoryToKeep) {
+  SimulatedFleet fleet(6, 1);
+  fleet.Advance(seconds(9));
+  const FakeStore::Copy copy = fleet.store.Save();
+  const auto count = [&fleet](const std::string& text) {
+    return std::count_if(fleet.lines.begin(), fleet.lines.end(), [&text](const std::string& line) {
+      return line.find(text) != std::string::npos;
+    });
+  };
+  fleet.store.Restore(copy);
+  const auto elections = count("leadership_gained");
+  while (count("leadership_gained") == elections) {
+    fleet.clock.Advance(milliseconds(1));
+  }
+  fleet.store.Restore(copy);
+  fleet.Advance(seconds(9));
+  EXPECT_EQ(count("uninterrupted=true"), 0);
+  EXPECT_EQ(fleet.MembersWithGrant(), 1U);
+}
+
 // Guards against a promotion while a member may still use the old primary: the restored store lacks
 // the member's registration, and the leader no longer waits for its grant.
 TEST(FleetSimulationTest, APromotionWaitsForAMemberWhoseRegistrationWasLost) {
