Give the processes of a test distinct addresses

Cause: the test picked each port by opening and closing a listening socket, so one pick could return a port of an earlier pick that no relay had opened yet.

Each relay now has a loopback address of its own with fixed ports, as the proxies' tests have.

A relay that does not become ready now has its standard error in the failure's message.

--- a/src/net/raw_socket.h
+++ b/src/net/raw_socket.h
@@ -25,9 +25,10 @@
   RawSocket& operator=(const RawSocket&) = delete;
   ~RawSocket() { this->Close(); }
 
-  static RawSocket ConnectTo(std::uint16_t port) {
+  static RawSocket ConnectTo(std::uint16_t port, const std::string& host = "127.0.0.1") {
     RawSocket socket(::socket(AF_INET, SOCK_STREAM, 0));
-    const sockaddr_in address = Loopback(port);
+    sockaddr_in address = Loopback(port);
+    inet_pton(AF_INET, host.c_str(), &address.sin_addr);
     if (connect(socket.descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) !=
         0) {
       socket.Close();
--- a/testsuite/relay/relay_test.cc
+++ b/testsuite/relay/relay_test.cc
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <fstream>
+#include <iterator>
 #include <memory>
 #include <sstream>
 #include <string>
@@ -27,12 +29,16 @@
 /// Longest time to wait for an expected condition.
 constexpr milliseconds kWaitLimit = seconds(15);
 
-std::uint16_t FreePort() { return RawSocket::ListenOnLoopback().LocalEndpoint().port; }
+constexpr std::uint16_t kCallerPort = 8080;
+constexpr std::uint16_t kReadyPort = 8081;
+constexpr std::uint16_t kPeerPort = 8082;
+constexpr std::uint16_t kMetricsPort = 8083;
 
 /// A caller's session on one connection.
 class Caller {
  public:
-  Caller(std::uint16_t port, const std::string& route) : socket(RawSocket::ConnectTo(port)) {
+  Caller(const std::string& host, const std::string& route)
+      : socket(RawSocket::ConnectTo(kCallerPort, host)) {
     this->socket.Send("STARTUP " + route + " test\r\n");
     this->greeting = this->socket.ReceiveUntil("\r\n");
   }
@@ -63,27 +69,29 @@
 
 class RelayProcess {
  public:
-  RelayProcess(const std::string& name, const Endpoint& platform)
-      : caller_port(FreePort()), ready_port(FreePort()), metrics_port(FreePort()) {
-    const auto local = [](std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); };
+  /// `number` differs between the relays of a test.
+  RelayProcess(int number, const Endpoint& platform)
+      : host(OwnLoopbackNetwork() + "." + std::to_string(number)),
+        error_file(testing::TempDir() + "/relay-" + this->host + ".err") {
+    const std::string name = "r" + std::to_string(number);
+    const auto local = [this](std::uint16_t port) { return Endpoint{this->host, port}.ToString(); };
     const std::vector<std::string> arguments = {"relay",
                                                 "--member-id=" + name,
                                                 "--data-centre=dc1",
-                                                "--caller-address=" + local(this->caller_port),
-                                                "--ready-address=" + local(this->ready_port),
-                                                "--peer-address=" + local(FreePort()),
-                                                "--metrics-address=" + local(this->metrics_port),
+                                                "--caller-address=" + local(kCallerPort),
+                                                "--ready-address=" + local(kReadyPort),
+                                                "--peer-address=" + local(kPeerPort),
+                                                "--metrics-address=" + local(kMetricsPort),
                                                 "--store-address=" + platform.ToString(),
                                                 "--duty-address=" + platform.ToString(),
                                                 "--stop-grace=4s"};
     this->process = std::make_unique<ChildProcess>(
         SYCAMOREDRUM_PROGRAM, arguments,
-        std::vector<std::string>{"SYCAMOREDRUM_FLEET_KEY=key of the relay test"},
-        testing::TempDir() + "/relay-" + name + ".err");
+        std::vector<std::string>{"SYCAMOREDRUM_FLEET_KEY=key of the relay test"}, this->error_file);
   }
 
   bool IsReady() const {
-    const RawSocket socket = RawSocket::ConnectTo(this->ready_port);
+    const RawSocket socket = RawSocket::ConnectTo(kReadyPort, this->host);
     if (!socket.Valid()) {
       return false;
     }
@@ -91,9 +99,14 @@
     return socket.ReceiveUntil("\r\n").find(" 200 ") != std::string::npos;
   }
 
+  std::string Errors() const {
+    std::ifstream file(this->error_file);
+    return std::string(std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>());
+  }
+
   /// Number of list and watch calls to the store that the process has made, from its metrics.
   int StoreReads() const {
-    const RawSocket socket = RawSocket::ConnectTo(this->metrics_port);
+    const RawSocket socket = RawSocket::ConnectTo(kMetricsPort, this->host);
     socket.Send("GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
     std::istringstream lines(socket.ReceiveUntil("no line has this text"));
     double reads = 0;
@@ -108,9 +121,8 @@
     return static_cast<int>(reads);
   }
 
-  const std::uint16_t caller_port;
-  const std::uint16_t ready_port;
-  const std::uint16_t metrics_port;
+  const std::string host;
+  const std::string error_file;
   std::unique_ptr<ChildProcess> process;
 };
 
@@ -132,16 +144,17 @@
   RelayTest() : platform(3) {
     this->platform.Configure(
         7, {"place=primary", "stock=bounded_staleness", "quotes=read_your_writes"});
-    for (const char* name : {"r1", "r2"}) {
-      this->relays.push_back(std::make_unique<RelayProcess>(name, this->platform.Address()));
+    for (const int number : {1, 2}) {
+      this->relays.push_back(std::make_unique<RelayProcess>(number, this->platform.Address()));
     }
     for (const auto& relay : this->relays) {
-      EXPECT_TRUE(Eventually([&relay] { return relay->IsReady(); }));
+      EXPECT_TRUE(Eventually([&relay] { return relay->IsReady(); }))
+          << relay->host << " wrote to its standard error: " << relay->Errors();
     }
   }
 
   Caller Open(int relay, const std::string& route) {
-    return Caller(this->relays[static_cast<std::size_t>(relay)]->caller_port, route);
+    return Caller(this->relays[static_cast<std::size_t>(relay)]->host, route);
   }
 
   /// Repeats a write until it succeeds, as a caller repeats refused operations.
@@ -154,10 +167,10 @@
 
   /// Replaces a relay by a new process of the same name, as if it had been killed.
   void Restart(std::size_t relay) {
-    this->relays[relay]->process->Signal(SIGKILL);
-    this->relays[relay]->process->Wait(seconds(2));
-    const std::string name = "r" + std::to_string(relay + 1);
-    this->relays[relay] = std::make_unique<RelayProcess>(name, this->platform.Address());
+    // The addresses are in use until the former process has ended.
+    this->relays[relay].reset();
+    this->relays[relay] =
+        std::make_unique<RelayProcess>(static_cast<int>(relay) + 1, this->platform.Address());
   }
 
   bool OpensEventually(int relay, const std::string& route, milliseconds limit) {
--- a/testsuite/support/child_process.cc
+++ b/testsuite/support/child_process.cc
@@ -122,4 +122,9 @@
   return this->status;
 }
 
+std::string OwnLoopbackNetwork() {
+  const int number = static_cast<int>(getpid());
+  return "127." + std::to_string(1 + number % 254) + "." + std::to_string(number / 254 % 256);
+}
+
 }  // namespace sycamoredrum
--- a/testsuite/support/child_process.h
+++ b/testsuite/support/child_process.h
@@ -42,4 +42,8 @@
   std::optional<int> status;
 };
 
+/// First three parts of the loopback addresses of this test process, "127.x.y". They depend on the
+/// process id, so that tests that run at the same time do not compete for ports.
+std::string OwnLoopbackNetwork();
+
 }  // namespace sycamoredrum
--- a/testsuite/support/fleet.cc
+++ b/testsuite/support/fleet.cc
@@ -41,13 +41,6 @@
   return pattern;
 }
 
-// The network depends on the process id, so that tests that run at the same time do not compete for
-// ports.
-std::string MakeNetwork() {
-  const int number = static_cast<int>(getpid());
-  return "127." + std::to_string(1 + number % 254) + "." + std::to_string(number / 254 % 256);
-}
-
 void WaitForReadyLine(ChildProcess& process, const std::string& name) {
   const auto line = process.ReadLine(kStartTimeout);
   if (!line || line->rfind("ready", 0) != 0) {
@@ -60,7 +53,7 @@
 Fleet::Fleet(FleetOptions options)
     : options(std::move(options)),
       folder(MakeFolder()),
-      network(MakeNetwork()),
+      network(OwnLoopbackNetwork()),
       loop(2),
       client(loop, HttpClientOptions()) {
   int number = kFirstBackendHost;
@@ -108,6 +101,7 @@
 }
 
 void Fleet::StartPlatform() {
+  this->platform.reset();
   this->platform = std::make_unique<ChildProcess>(
       STANDIN_PLATFORM, std::vector<std::string>{"--listen=" + this->PlatformAddress().ToString()},
       std::vector<std::string>(), this->folder + "/platform.log");
@@ -130,6 +124,7 @@
       flags.push_back("--peer=" + other_id + "=" + Endpoint{other.host, kControlPort}.ToString());
     }
   }
+  server.process.reset();
   server.process = std::make_unique<ChildProcess>(
       STANDIN_DATABASE, flags, std::vector<std::string>(), this->folder + "/" + id + ".log");
   WaitForReadyLine(*server.process, id);
@@ -152,6 +147,8 @@
           Endpoint{this->proxy_hosts.back(), kMembershipPort}.ToString(),
       "--workers=2"};
   flags.insert(flags.end(), this->options.proxy_flags.begin(), this->options.proxy_flags.end());
+  // The addresses are in use until the former process has ended.
+  this->proxies.at(proxy).reset();
   this->proxies.at(proxy) = std::make_unique<ChildProcess>(
       SYCAMOREDRUM, flags,
       std::vector<std::string>{std::string("SYCAMOREDRUM_FLEET_KEY=") + kFleetKey},
