Visit only the backend servers in use in each tick

The tick now visits the servers from which a connection was requested until they are at rest (no connection, no waiter, averages below any effect); grants are compared by generation; only databases with waiting sessions are resumed. The weight of a demand sample still counts the ticks since the server was added.

--- a/src/include/sycamoredrum/primary_grants.h
+++ b/src/include/sycamoredrum/primary_grants.h
@@ -55,6 +55,8 @@
   /// The grant of `database`, or nothing if there is none under which statements may be started
   /// now.
   std::optional<PrimaryGrant> Current(const std::string& database) const;
+  /// Generation of the current grant; 0 if there is none.
+  std::uint64_t CurrentGeneration(const std::string& database) const;
 
   /// True if results of statements that were started under this generation of `database` are still
   /// valid: the grant has not expired and FinishRevocation has not dropped it.
@@ -79,6 +81,8 @@
     }
   };
 
+  const PrimaryGrant* FindCurrent(const std::string& database) const;
+
   const Clock& clock;
   std::uint64_t epoch = 0;
   std::map<std::string, Entry> entries;
--- a/src/relay/caller_session_dispatch.cc
+++ b/src/relay/caller_session_dispatch.cc
@@ -143,17 +143,17 @@
     const auto session = server->sessions.find(connection);
     return session == server->sessions.end() ? 0 : session->second->SetupCost(self->profile);
   };
-  server->pool->Acquire(request,
-                        [self = this->shared_from_this(), server_id, grant = std::move(grant),
-                         number = this->active->number](const LeaseAnswer& answer) {
-                          if (self->active && self->active->number == number) {
-                            self->OnLease(server_id, grant, answer);
-                          } else if (answer.status == LeaseStatus::kGranted) {
-                            if (RelayServer* owner = self->relay.FindServer(server_id)) {
-                              owner->pool->Release(answer.lease, ConnectionState::kClean);
-                            }
+  this->relay.Acquire(*server, request,
+                      [self = this->shared_from_this(), server_id, grant = std::move(grant),
+                       number = this->active->number](const LeaseAnswer& answer) {
+                        if (self->active && self->active->number == number) {
+                          self->OnLease(server_id, grant, answer);
+                        } else if (answer.status == LeaseStatus::kGranted) {
+                          if (RelayServer* owner = self->relay.FindServer(server_id)) {
+                            owner->pool->Release(answer.lease, ConnectionState::kClean);
                           }
-                        });
+                        }
+                      });
 }
 
 void RelayCallerSession::OnLease(const std::string& server_id,
--- a/src/relay/primary_grants.cc
+++ b/src/relay/primary_grants.cc
@@ -46,13 +46,23 @@
   }
 }
 
-std::optional<PrimaryGrant> PrimaryGrants::Current(const std::string& database) const {
+const PrimaryGrant* PrimaryGrants::FindCurrent(const std::string& database) const {
   const auto found = this->entries.find(database);
   if (found == this->entries.end() || !found->second.grant || found->second.Revoked() ||
       this->clock.Now() >= found->second.grant->valid_until) {
-    return std::nullopt;
+    return nullptr;
   }
-  return found->second.grant;
+  return &*found->second.grant;
+}
+
+std::optional<PrimaryGrant> PrimaryGrants::Current(const std::string& database) const {
+  const PrimaryGrant* grant = this->FindCurrent(database);
+  return grant == nullptr ? std::nullopt : std::optional<PrimaryGrant>(*grant);
+}
+
+std::uint64_t PrimaryGrants::CurrentGeneration(const std::string& database) const {
+  const PrimaryGrant* grant = this->FindCurrent(database);
+  return grant == nullptr ? 0 : grant->generation;
 }
 
 std::uint64_t PrimaryGrants::HeldGeneration(const std::string& database) const {
--- a/src/relay/relay_state.h
+++ b/src/relay/relay_state.h
@@ -31,10 +31,18 @@
   TimePoint busy_until;         ///< End of the back-off after it had no capacity for a statement.
   TimePoint unreachable_until;  ///< End of the back-off after it could not be reached.
   std::optional<TimePoint> failing_since;  ///< First failure since its last answer.
-  double demand = 0;  ///< Moving average of the statements that run or wait there.
-  int demand_samples = 0;
-  int leases = 0;         ///< Connections leased since the last tick.
-  double lease_rate = 0;  ///< Moving average of the connections leased per second.
+  double demand = 0;             ///< Moving average of the statements that run or wait there.
+  std::uint64_t added_tick = 0;  ///< Number of ticks before the server was added.
+  int leases = 0;                ///< Connections leased since the last tick.
+  double lease_rate = 0;         ///< Moving average of the connections leased per second.
+
+  /// True if the server has had no connection, and no statement for it has waited, for so long that
+  /// the moving averages have fallen below what has any effect.
+  bool AtRest() const {
+    constexpr double kNegligible = 0.01;
+    return this->pool->Total() == 0 && this->pool->Waiting() == 0 && this->leases == 0 &&
+           this->demand < kNegligible && this->lease_rate < kNegligible;
+  }
 };
 
 struct RelayDatabase {
@@ -58,6 +66,8 @@
   void UpdateLimits();
   /// Adds a finished statement to the metrics.
   void RecordStatement(const std::string& route, const std::string& outcome, Duration elapsed);
+  /// Requests a connection from the server's pool.
+  void Acquire(RelayServer& server, const LeaseRequest& request, LeaseCallback callback);
   /// Number of connections that this process may open to the server.
   int ConnectionLimit(const RelayServer& server) const;
   /// Time after which an idle connection to the server is closed.
@@ -101,6 +111,8 @@
   Metrics& metrics;
   std::shared_ptr<const RelayConfiguration> configuration;
   std::map<std::string, std::shared_ptr<RelayServer>> servers;
+  /// Servers that are not at rest. A process of a large fleet uses few of all servers.
+  std::set<std::string> servers_in_use;
   std::map<std::string, RelayDatabase> databases;
   std::set<RelayCallerSession*> sessions;
   std::map<std::string, int> shares;
@@ -108,6 +120,7 @@
   std::optional<std::string> refusal_reason;  ///< Set if all new statements are refused.
   std::size_t fleet_size = 1;  ///< Processes that share the servers' connection caps.
   TimePoint last_tick;
+  std::uint64_t ticks = 0;
   ConnectionId next_connection = 1;
   /// Callbacks hold a weak pointer to it, which expires when the relay is destroyed.
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/src/relay/session_relay.cc
+++ b/src/relay/session_relay.cc
@@ -66,6 +66,12 @@
              : IdleConnectionTimeout(cap->second, this->fleet_size, server.lease_rate);
 }
 
+void SessionRelay::Impl::Acquire(RelayServer& server, const LeaseRequest& request,
+                                 LeaseCallback callback) {
+  this->servers_in_use.insert(server.record.id);
+  server.pool->Acquire(request, std::move(callback));
+}
+
 void SessionRelay::Impl::UpdateLimits() {
   for (const auto& [id, server] : this->servers) {
     server->pool->SetLimit(this->ConnectionLimit(*server));
@@ -75,6 +81,7 @@
 void SessionRelay::Impl::AddServer(const BackendServerRecord& record) {
   auto server = std::make_shared<RelayServer>();
   server->record = record;
+  server->added_tick = this->ticks;
   server->response_time =
       record.data_centre == this->options.data_centre ? kLocalResponseTime : kRemoteResponseTime;
   server->connect_time = server->response_time;
@@ -262,12 +269,13 @@
   request.caller_group = "position";
   request.weight = kPositionQueryWeight;
   request.deadline = *until;
-  server->pool->Acquire(request, [this, weak = std::weak_ptr<bool>(this->alive), database,
-                                  grant](const LeaseAnswer& answer) {
-    if (!weak.expired() && answer.status == LeaseStatus::kGranted) {
-      this->OnPositionLease(database, grant, answer);
-    }
-  });
+  this->Acquire(
+      *server, request,
+      [this, weak = std::weak_ptr<bool>(this->alive), database, grant](const LeaseAnswer& answer) {
+        if (!weak.expired() && answer.status == LeaseStatus::kGranted) {
+          this->OnPositionLease(database, grant, answer);
+        }
+      });
 }
 
 void SessionRelay::Impl::OnPositionLease(const std::string& database, const PrimaryGrant& grant,
@@ -393,7 +401,9 @@
 void SessionRelay::GrantsChanged() {
   std::vector<std::string> names;
   for (const auto& [name, database] : this->impl->databases) {
-    names.push_back(name);
+    if (!database.waiting.empty()) {
+      names.push_back(name);
+    }
   }
   for (const std::string& name : names) {
     this->impl->ResumeWaitingSessions(name);
@@ -443,11 +453,18 @@
       [](const RelayCallerSession& session) { return session.Busy() || session.InTransaction(); },
       [now](RelayCallerSession& session) { session.Tick(now); });
   const Duration elapsed = now - std::exchange(this->impl->last_tick, now);
-  for (const auto& [id, server] : this->impl->servers) {
+  ++this->impl->ticks;
+  std::set<std::string>& in_use = this->impl->servers_in_use;
+  for (auto id = in_use.begin(); id != in_use.end();) {
+    RelayServer* server = this->impl->FindServer(*id);
+    if (server == nullptr || server->AtRest()) {
+      id = in_use.erase(id);
+      continue;
+    }
     const auto running_or_waiting =
         static_cast<double>(server->pool->Leased() + server->pool->Waiting());
-    ++server->demand_samples;
-    const double weight = std::max(kDemandSmoothing, 1.0 / server->demand_samples);
+    const auto samples = static_cast<double>(this->impl->ticks - server->added_tick);
+    const double weight = std::max(kDemandSmoothing, 1.0 / samples);
     server->demand += (running_or_waiting - server->demand) * weight;
     if (elapsed > Duration::zero()) {
       const double seconds = std::chrono::duration<double>(elapsed).count();
@@ -457,6 +474,7 @@
     }
     server->pool->CloseUnused(this->impl->IdleTimeout(*server));
     server->pool->CloseSurplus(kSurplusWindow);
+    ++id;
   }
   this->GrantsChanged();
 }
@@ -497,8 +515,9 @@
 
 std::map<std::string, double> SessionRelay::Demand() const {
   std::map<std::string, double> result;
-  for (const auto& [id, server] : this->impl->servers) {
-    if (server->demand >= kMinReportedDemand) {
+  for (const std::string& id : this->impl->servers_in_use) {
+    const RelayServer* server = this->impl->FindServer(id);
+    if (server != nullptr && server->demand >= kMinReportedDemand) {
       // Two decimals are precise enough and keep the message short.
       result[id] = std::round(server->demand * 100) / 100;
     }
--- a/src/relay_daemon/fleet_member.cc
+++ b/src/relay_daemon/fleet_member.cc
@@ -201,14 +201,14 @@
   const auto configuration = this->relay.Configuration();
   return std::all_of(
       configuration->connection_caps.begin(), configuration->connection_caps.end(),
-      [this](const auto& database) { return this->grants.Current(database.first).has_value(); });
+      [this](const auto& database) { return this->grants.CurrentGeneration(database.first) != 0; });
 }
 
 bool FleetMember::CutOff() const {
   const auto configuration = this->relay.Configuration();
   const bool has_grant = std::any_of(
       configuration->connection_caps.begin(), configuration->connection_caps.end(),
-      [this](const auto& database) { return this->grants.Current(database.first).has_value(); });
+      [this](const auto& database) { return this->grants.CurrentGeneration(database.first) != 0; });
   return !has_grant && !this->leader_mirror.Reachable() && !this->leader_role.Leading() &&
          this->clock.Now() - this->last_answer > kLeaderTimeout;
 }
@@ -238,15 +238,14 @@
 
 void FleetMember::LogGrants() {
   for (const auto& [name, cap] : this->relay.Configuration()->connection_caps) {
-    const std::optional<PrimaryGrant> grant = this->grants.Current(name);
-    const std::string state =
-        grant ? absl::StrCat(grant->server, " ", grant->generation) : std::string("none");
-    std::string& logged = this->logged_grants[name];
-    if (logged != state) {
-      logged = state;
+    const std::uint64_t generation = this->grants.CurrentGeneration(name);
+    std::optional<std::uint64_t>& logged = this->logged_grants[name];
+    if (logged != generation) {
+      logged = generation;
+      const std::optional<PrimaryGrant> grant = this->grants.Current(name);
       this->logger.Info("grant", {{"database", name},
                                   {"server", grant ? grant->server : "none"},
-                                  {"generation", grant ? absl::StrCat(grant->generation) : "0"},
+                                  {"generation", absl::StrCat(generation)},
                                   {"epoch", absl::StrCat(this->grants.Epoch())}});
     }
   }
--- a/src/relay_daemon/fleet_member.h
+++ b/src/relay_daemon/fleet_member.h
@@ -231,8 +231,9 @@
   std::set<std::string> links_to_open;
   std::set<std::string> notices_to_send;  ///< Members that must be notified of the leader.
   std::optional<MemberRecord> leader;
-  std::uint64_t leader_epoch = 0;                    ///< Epoch of `leader`.
-  std::map<std::string, std::string> logged_grants;  ///< Last logged state, by database.
+  std::uint64_t leader_epoch = 0;  ///< Epoch of `leader`.
+  /// Generation of the last logged grant, by database; 0 for none.
+  std::map<std::string, std::optional<std::uint64_t>> logged_grants;
   TimePoint started;
   std::uint64_t own_revision = 0;  ///< Store revision of this member's registration.
   std::optional<TimePoint> registered_at;
