Leave out of the fleet's messages what the receiver has or does not use

Three messages grew with the number of databases times members:

- each answer to a heartbeat held the newest log position of every database.
With more than 32 databases, a member now names those that it uses, and gets only their positions.
The first statement on another database asks its primary, as after a restart.
- each member got the records of all backend servers from the leader after it had read the same records from the store.
A request now carries a fingerprint of the records; an answer to equal records leaves them out.
- a request for a newer configuration also returned all records of servers, and a request for records also the configuration.
A request now says what it needs.

Fleets with at most 32 databases get positions as before.

--- a/src/include/sycamoredrum/primary_authority.h
+++ b/src/include/sycamoredrum/primary_authority.h
@@ -72,6 +72,8 @@
   std::set<std::string> unreachable;  ///< Backend servers that fail or do not answer the member.
   /// Mean number of statements that run or wait, by backend server.
   std::map<std::string, double> demand;
+  /// Databases whose positions the member needs; nothing if it needs all.
+  std::optional<std::set<std::string>> used_databases;
 };
 
 /// The leader's answer to a heartbeat.
@@ -79,6 +81,7 @@
   std::uint64_t epoch = 0;
   /// Grants, by database; without databases whose primary may not be used now.
   std::map<std::string, PrimaryRecord> primaries;
+  /// Newest log positions, by database; only of databases that the member uses.
   std::map<std::string, PositionObservation> positions;
   /// The member's share of the connections, by backend server.
   std::map<std::string, int> connections;
--- a/src/include/sycamoredrum/server_directory.h
+++ b/src/include/sycamoredrum/server_directory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
@@ -47,6 +48,8 @@
   void Tick();
 
   const std::map<std::string, BackendServerRecord>& Records() const { return this->records; }
+  /// Hash of all records. Two processes with the same fingerprint have the same records.
+  std::uint64_t Fingerprint() const;
 
  private:
   struct Drain {
--- a/src/include/sycamoredrum/session_relay.h
+++ b/src/include/sycamoredrum/session_relay.h
@@ -161,6 +161,8 @@
   /// Moving average of the number of statements of this process that run or wait, by backend server
   /// id. Servers with almost none are left out.
   std::map<std::string, double> Demand() const;
+  /// Databases with a server in use, or with a statement that waits for a primary or a position.
+  std::set<std::string> DatabasesInUse() const;
 
   std::shared_ptr<const RelayConfiguration> Configuration() const;
   std::size_t OpenTransactions() const;
--- a/src/leader/primary_authority.cc
+++ b/src/leader/primary_authority.cc
@@ -231,7 +231,8 @@
       continue;
     }
     grants.primaries.emplace(name, database.record);
-    if (database.newest) {
+    const bool used = !report.used_databases || report.used_databases->count(name) != 0;
+    if (database.newest && used) {
       grants.positions.emplace(name, *database.newest);
     }
   }
--- a/src/leader/primary_authority_test.cc
+++ b/src/leader/primary_authority_test.cc
@@ -23,9 +23,9 @@
 
 /// A new leader, elected right after the store has returned from an older copy, with one registered
 /// member and two servers that answer at once.
-class PrimaryAuthorityAfterARestoreTest : public testing::Test {
+class PrimaryAuthorityTest : public testing::Test {
  protected:
-  PrimaryAuthorityAfterARestoreTest()
+  PrimaryAuthorityTest()
       : logger(LogLevel::kError, LogFormat::kText, this->clock, [](const std::string&) {}),
         authority(this->MakeHooks(), kLease, this->clock, this->clock, this->logger),
         restored_at(this->clock.Now()) {
@@ -99,8 +99,7 @@
   const TimePoint restored_at;
 };
 
-TEST_F(PrimaryAuthorityAfterARestoreTest,
-       NoServerIsPromotedWhileAMemberWithALostRegistrationMayUseThePrimary) {
+TEST_F(PrimaryAuthorityTest, NoServerIsPromotedWhileAMemberWithALostRegistrationMayUseThePrimary) {
   // The former leader may lead, and grant the primary, for one lease time after the restore.
   const Duration lost_grants = kLease + PrimaryAuthority::kGrantValidity;
   this->RunUntil(lost_grants - seconds(2));
@@ -111,8 +110,7 @@
   EXPECT_GE(this->promoted_at["b"] - this->restored_at, lost_grants);
 }
 
-TEST_F(PrimaryAuthorityAfterARestoreTest,
-       PrimaryOfBeforeAPromotionThatTakesEffectAfterTheRestoreIsNotGranted) {
+TEST_F(PrimaryAuthorityTest, PrimaryOfBeforeAPromotionThatTakesEffectAfterTheRestoreIsNotGranted) {
   // The former leader requests the promotion at the end of its lease.
   const Duration last_promotion = kLease + PrimaryAuthority::kPromotionCallLimit;
   this->RunUntil(last_promotion - kTick);
@@ -121,5 +119,18 @@
   EXPECT_EQ(this->granted, std::set<std::string>{"b"});
 }
 
+// Guards against answers that grow with the number of databases: a leader with 300 members and 300
+// databases sent 100,000 positions a second.
+TEST_F(PrimaryAuthorityTest, OnlyPositionsOfUsedDatabasesAreSent) {
+  this->RunUntil(seconds(8));
+  MemberReport report;
+  report.member = "registered";
+  EXPECT_EQ(this->authority.OnReport(report).positions.count(kDatabase), 1U);
+  report.used_databases.emplace();
+  EXPECT_TRUE(this->authority.OnReport(report).positions.empty());
+  report.used_databases->insert(kDatabase);
+  EXPECT_EQ(this->authority.OnReport(report).positions.count(kDatabase), 1U);
+}
+
 }  // namespace
 }  // namespace sycamoredrum
--- a/src/relay/relay_parts_test.cc
+++ b/src/relay/relay_parts_test.cc
@@ -155,6 +155,21 @@
   EXPECT_EQ(this->reported, (std::vector<std::string>{"-c", "+b", "+d"}));
 }
 
+TEST_F(ServerDirectoryTest, EqualRecordsHaveTheSameFingerprint) {
+  ServerDirectory other(this->clock,
+                        {[](const BackendServerRecord&) {}, [](const std::string&) {}});
+  for (const char* id : {"a", "b"}) {
+    this->directory.Put(Record(id));
+  }
+  EXPECT_NE(this->directory.Fingerprint(), other.Fingerprint());
+  other.Replace(this->directory.Records());
+  EXPECT_EQ(this->directory.Fingerprint(), other.Fingerprint());
+  BackendServerRecord changed = Record("b");
+  changed.state = BackendServerState::kDraining;
+  other.Put(changed);
+  EXPECT_NE(this->directory.Fingerprint(), other.Fingerprint());
+}
+
 // Guards against removing servers whose records expired during an outage of the store.
 TEST_F(ServerDirectoryTest, AServerIsKeptIfItsRecordReturnsInTime) {
   this->directory.SetStoreReachable(true);
--- a/src/relay/server_directory.cc
+++ b/src/relay/server_directory.cc
@@ -1,5 +1,8 @@
 #include "sycamoredrum/server_directory.h"
 
+#include <absl/strings/str_cat.h>
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -75,6 +78,16 @@
   }
 }
 
+std::uint64_t ServerDirectory::Fingerprint() const {
+  std::string text;
+  for (const auto& [id, record] : this->records) {
+    absl::StrAppend(&text, id, "\n", record.database, "\n", record.endpoint.ToString(), "\n",
+                    record.data_centre, "\n", static_cast<int>(record.state), "\n",
+                    static_cast<int>(record.claims_primary), "\n", record.started_at_ms, "\n");
+  }
+  return XXH3_64bits(text.data(), text.size());
+}
+
 void ServerDirectory::SetStoreReachable(bool value) {
   if (value && !this->store_reachable) {
     this->reachable_since = this->clock.Now();
--- a/src/relay/session_relay.cc
+++ b/src/relay/session_relay.cc
@@ -525,6 +525,21 @@
   return result;
 }
 
+std::set<std::string> SessionRelay::DatabasesInUse() const {
+  std::set<std::string> result;
+  for (const std::string& id : this->impl->servers_in_use) {
+    if (const RelayServer* server = this->impl->FindServer(id)) {
+      result.insert(server->record.database);
+    }
+  }
+  for (const auto& [name, database] : this->impl->databases) {
+    if (!database.waiting.empty()) {
+      result.insert(name);
+    }
+  }
+  return result;
+}
+
 std::shared_ptr<const RelayConfiguration> SessionRelay::Configuration() const {
   return this->impl->configuration;
 }
--- a/src/relay_daemon/fleet_exchange.cc
+++ b/src/relay_daemon/fleet_exchange.cc
@@ -17,19 +17,20 @@
          this->servers_epoch == this->answer_epoch;
 }
 
-const std::string& FleetMember::MakeServersReply() {
+std::string FleetMember::MakeServersReply(const StateRequest& request) {
   const std::uint64_t epoch = this->leader_role.Epoch();
   const std::uint64_t version = this->hooks.needs_servers() ? 0 : this->own_servers_version;
-  if (this->servers_reply.epoch != epoch || this->servers_reply.version != version ||
-      this->servers_reply.text.empty()) {
+  ServersReply& reply = this->servers_reply;
+  if (reply.epoch != epoch || reply.version != version || reply.text.empty()) {
     SharedState state;
     state.epoch = epoch;
     state.servers_version = version;
-    state.servers = this->servers.Records();
     state.peers = this->SamplePeers();
-    this->servers_reply = ServersReply{epoch, version, ToJson(state)};
+    reply = ServersReply{epoch, version, this->servers.Fingerprint(), "", ToJson(state)};
+    state.servers = this->servers.Records();
+    reply.text = ToJson(state);
   }
-  return this->servers_reply.text;
+  return request.servers_fingerprint == reply.fingerprint ? reply.text_without_records : reply.text;
 }
 
 bool FleetMember::MayRequestServers() const {
@@ -46,18 +47,28 @@
     return;
   }
   this->last_servers_request = this->clock.Now();
+  const StateRequest request{this->configuration_version, this->servers.Fingerprint()};
   this->LinkTo(this->leader->endpoint)
-      .Call("servers", "null", kRequestTimeout, [this, epoch](const PeerAnswer& reply) {
-        this->servers_request_in_flight = false;
-        const std::optional<SharedState> state =
-            reply.Ok() ? ParseSharedState(reply.body) : std::nullopt;
-        if (state && state->epoch == epoch && state->servers_version != 0) {
-          this->servers_epoch = epoch;
-          this->servers_version = state->servers_version;
-          this->peers = state->peers;
-          this->servers.Replace(state->servers);
-        }
-      });
+      .Call("servers", ToJson(request), kRequestTimeout,
+            [this, epoch, own_version = this->own_servers_version](const PeerAnswer& reply) {
+              this->servers_request_in_flight = false;
+              const std::optional<SharedState> state =
+                  reply.Ok() ? ParseSharedState(reply.body) : std::nullopt;
+              if (!state || state->epoch != epoch || state->servers_version == 0) {
+                return;
+              }
+              this->peers = state->peers;
+              const bool compared = own_version == this->own_servers_version;
+              if (!state->servers && !compared) {
+                // The own records have changed since; the next heartbeat requests them again.
+                return;
+              }
+              this->servers_epoch = epoch;
+              this->servers_version = state->servers_version;
+              if (state->servers) {
+                this->servers.Replace(*state->servers);
+              }
+            });
 }
 
 // Queries the leader or, while no leader answers, the seeds and known peers in turn.
@@ -79,14 +90,19 @@
     return;
   }
   this->last_state_request = this->clock.Now();
-  this->LinkTo(target).Call("state", "null", kRequestTimeout, [this](const PeerAnswer& reply) {
-    this->state_request_in_flight = false;
-    const std::optional<SharedState> state =
-        reply.Ok() ? ParseSharedState(reply.body) : std::nullopt;
-    if (state) {
-      this->OnState(*state);
-    }
-  });
+  StateRequest request{this->configuration_version, std::nullopt};
+  if (this->hooks.needs_servers()) {
+    request.servers_fingerprint = this->servers.Fingerprint();
+  }
+  this->LinkTo(target).Call("state", ToJson(request), kRequestTimeout,
+                            [this](const PeerAnswer& reply) {
+                              this->state_request_in_flight = false;
+                              const std::optional<SharedState> state =
+                                  reply.Ok() ? ParseSharedState(reply.body) : std::nullopt;
+                              if (state) {
+                                this->OnState(*state);
+                              }
+                            });
 }
 
 // The sample differs for each version of the records, so that members do not all know the same
@@ -115,8 +131,8 @@
   if (state.configuration > this->configuration_version && !state.configuration_text.empty()) {
     this->hooks.configuration_received(state.configuration_text);
   }
-  if (this->hooks.needs_servers() && !state.servers.empty()) {
-    this->servers.Replace(state.servers);
+  if (this->hooks.needs_servers() && state.servers && !state.servers->empty()) {
+    this->servers.Replace(*state.servers);
   }
   if (state.leader) {
     this->SetLeader(*state.leader, state.epoch);
--- a/src/relay_daemon/fleet_leader.cc
+++ b/src/relay_daemon/fleet_leader.cc
@@ -321,6 +321,7 @@
   report.epoch = message.epoch;
   report.unreachable = message.unreachable;
   report.demand = message.demand;
+  report.used_databases = message.used_databases;
   // The member sent the message no earlier than the stamp of the echoed answer plus `echo_held`.
   const bool echoed = message.echoed_stamp > 0 && message.epoch == this->leadership.Epoch();
   const TimePoint sent =
--- a/src/relay_daemon/fleet_member.cc
+++ b/src/relay_daemon/fleet_member.cc
@@ -123,11 +123,28 @@
     this->SendHeartbeat();
     respond(PeerReply{});
   };
-  handlers["servers"] = [this](const PeerRequest&, const PeerRespond& respond) {
-    respond(PeerReply{this->MakeServersReply(), "", ""});
+  handlers["servers"] = [this, unreadable](const PeerRequest& request, const PeerRespond& respond) {
+    const std::optional<StateRequest> wanted = ParseStateRequest(request.body);
+    if (!wanted) {
+      unreadable(respond);
+      return;
+    }
+    respond(PeerReply{this->MakeServersReply(*wanted), "", ""});
   };
-  handlers["state"] = [this](const PeerRequest&, const PeerRespond& respond) {
+  handlers["state"] = [this, unreadable](const PeerRequest& request, const PeerRespond& respond) {
+    const std::optional<StateRequest> wanted = ParseStateRequest(request.body);
+    if (!wanted) {
+      unreadable(respond);
+      return;
+    }
     SharedState state = this->hooks.shared_state();
+    if (wanted->configuration >= state.configuration) {
+      state.configuration_text.clear();
+    }
+    if (wanted->servers_fingerprint.value_or(this->servers.Fingerprint()) !=
+        this->servers.Fingerprint()) {
+      state.servers = this->servers.Records();
+    }
     state.leader = this->leader;
     state.epoch = this->leader_epoch;
     state.peers = this->SamplePeers();
@@ -301,6 +318,9 @@
   }
   message.unreachable = this->relay.UnusableServers();
   message.demand = this->relay.Demand();
+  if (this->relay.Configuration()->connection_caps.size() > kMaxDatabasesWithAllPositions) {
+    message.used_databases = this->relay.DatabasesInUse();
+  }
   return message;
 }
 
--- a/src/relay_daemon/fleet_member.h
+++ b/src/relay_daemon/fleet_member.h
@@ -25,7 +25,7 @@
 struct FleetMemberHooks {
   /// Another member sent a configuration; `text` is its value in the store.
   std::function<void(const std::string& text)> configuration_received;
-  /// Returns the configuration and the backend servers for members that cannot read the store.
+  /// Returns the configuration for members that cannot read the store.
   std::function<SharedState()> shared_state;
   /// True while this process cannot read the backend servers' records from the store.
   std::function<bool()> needs_servers;
@@ -77,6 +77,9 @@
   static constexpr Duration kLowCpuCandidateDelay = std::chrono::milliseconds(250);
   /// Number of other members that a member receives, to query them when it has lost the leader.
   static constexpr std::size_t kPeerSampleSize = 8;
+  /// With more databases, the leader sends only the positions of those that the member uses; the
+  /// first statement on another database asks its primary for the position.
+  static constexpr std::size_t kMaxDatabasesWithAllPositions = 32;
   /// For this time after its start, a process uses the backend servers' records that it read from
   /// the store. When all processes restart together, the leader has more urgent work than sending
   /// the records to all members.
@@ -154,12 +157,14 @@
   struct ServersReply {
     std::uint64_t epoch = 0;
     std::uint64_t version = 0;
+    std::uint64_t fingerprint = 0;  ///< Of the records.
     std::string text;
+    std::string text_without_records;
   };
 
   std::map<std::string, PeerHandler> MakeHandlers();
   /// The answer to a request for the servers' records; serialized again only if they changed.
-  const std::string& MakeServersReply();
+  std::string MakeServersReply(const StateRequest& request);
   /// True in a large fleet if the leader is reachable and can reach the store.
   bool LeaderReadsStore() const;
   bool MayRequestServers() const;
--- a/src/relay_daemon/fleet_messages.cc
+++ b/src/relay_daemon/fleet_messages.cc
@@ -154,6 +154,9 @@
   if (!message.demand.empty()) {
     json["demand"] = message.demand;
   }
+  if (message.used_databases) {
+    json["used_databases"] = *message.used_databases;
+  }
   return json.dump();
 }
 
@@ -173,6 +176,9 @@
     }
     message.unreachable = json.value("unreachable", std::set<std::string>());
     message.demand = json.value("demand", std::map<std::string, double>());
+    if (json.contains("used_databases")) {
+      message.used_databases = json.at("used_databases").get<std::set<std::string>>();
+    }
     return message;
   });
 }
@@ -281,17 +287,38 @@
   });
 }
 
+std::string ToJson(const StateRequest& request) {
+  Json json = {{"configuration", request.configuration}};
+  if (request.servers_fingerprint) {
+    json["servers_fingerprint"] = *request.servers_fingerprint;
+  }
+  return json.dump();
+}
+
+std::optional<StateRequest> ParseStateRequest(const std::string& text) {
+  return Parse<StateRequest>(text, [](const Json& json) {
+    StateRequest request;
+    request.configuration = json.at("configuration").get<std::uint64_t>();
+    if (json.contains("servers_fingerprint")) {
+      request.servers_fingerprint = json.at("servers_fingerprint").get<std::uint64_t>();
+    }
+    return request;
+  });
+}
+
 std::string ToJson(const SharedState& state) {
   Json json = {{"epoch", state.epoch},
                {"configuration", state.configuration},
                {"configuration_text", state.configuration_text},
-               {"servers_version", state.servers_version},
-               {"servers", Json::object()}};
+               {"servers_version", state.servers_version}};
   if (state.leader) {
     json["leader"] = MemberJson(*state.leader);
   }
-  for (const auto& [id, record] : state.servers) {
-    json["servers"][id] = ServerJson(record);
+  if (state.servers) {
+    json["servers"] = Json::object();
+    for (const auto& [id, record] : *state.servers) {
+      json["servers"][id] = ServerJson(record);
+    }
   }
   for (const Endpoint& peer : state.peers) {
     json["peers"].push_back(EndpointJson(peer));
@@ -309,8 +336,11 @@
     if (json.contains("leader")) {
       state.leader = DecodeMember(json.at("leader"));
     }
-    for (const auto& [id, record] : json.at("servers").items()) {
-      state.servers.emplace(id, DecodeServer(id, record));
+    if (json.contains("servers")) {
+      state.servers.emplace();
+      for (const auto& [id, record] : json.at("servers").items()) {
+        state.servers->emplace(id, DecodeServer(id, record));
+      }
     }
     if (json.contains("peers")) {
       for (const Json& peer : json.at("peers")) {
--- a/src/relay_daemon/fleet_messages.h
+++ b/src/relay_daemon/fleet_messages.h
@@ -55,6 +55,8 @@
   std::set<std::string> unreachable;
   /// Mean number of statements that run or wait, by backend server.
   std::map<std::string, double> demand;
+  /// Databases whose positions the member needs; nothing if it needs all.
+  std::optional<std::set<std::string>> used_databases;
 };
 
 std::string ToJson(const HeartbeatMessage& message);
@@ -121,15 +123,26 @@
 std::string ToJson(const LeaderNotice& notice);
 std::optional<LeaderNotice> ParseLeaderNotice(const std::string& json);
 
+/// What the sender of a state request already has. The answer leaves that out.
+struct StateRequest {
+  std::uint64_t configuration = 0;
+  /// Fingerprint of its records of backend servers; nothing if it does not need records.
+  std::optional<std::uint64_t> servers_fingerprint;
+};
+
+std::string ToJson(const StateRequest& request);
+std::optional<StateRequest> ParseStateRequest(const std::string& json);
+
 /// State of the fleet for a process that cannot read the store itself.
 struct SharedState {
   std::optional<MemberRecord> leader;
   std::uint64_t epoch = 0;  ///< Epoch of `leader`.
   std::uint64_t configuration = 0;
-  /// Value of the configuration in the store; empty in an answer that contains only the servers.
+  /// Value of the configuration in the store; empty if the receiver has it or did not request it.
   std::string configuration_text;
   std::uint64_t servers_version = 0;  ///< As in HeartbeatAnswer.
-  std::map<std::string, BackendServerRecord> servers;
+  /// Absent if the receiver has the same records or does not need them.
+  std::optional<std::map<std::string, BackendServerRecord>> servers;
   std::vector<Endpoint> peers;  ///< Random members, to be queried when the leader is lost.
 };
 
--- a/src/relay_daemon/fleet_messages_test.cc
+++ b/src/relay_daemon/fleet_messages_test.cc
@@ -28,6 +28,8 @@
   message.primaries_version = 8;
   message.unreachable = {"s1"};
   message.demand = {{"s2", 1.5}};
+  EXPECT_FALSE(ParseHeartbeat(ToJson(message))->used_databases);
+  message.used_databases = {"orders"};
   const auto parsed = ParseHeartbeat(ToJson(message));
   ASSERT_TRUE(parsed);
   EXPECT_EQ(parsed->epoch, 7U);
@@ -40,6 +42,7 @@
   EXPECT_EQ(parsed->primaries_version, 8U);
   EXPECT_EQ(parsed->unreachable, message.unreachable);
   EXPECT_EQ(parsed->demand, message.demand);
+  EXPECT_EQ(parsed->used_databases, message.used_databases);
 }
 
 TEST(FleetMessagesTest, AnswersAndStateKeepTheirContent) {
@@ -83,7 +86,8 @@
   server.endpoint = Endpoint{"10.0.0.2", 81};
   server.state = BackendServerState::kDraining;
   server.started_at_ms = 1765000000000;
-  state.servers["s1"] = server;
+  state.servers.emplace();
+  state.servers->emplace("s1", server);
   state.servers_version = 12;
   state.peers = {Endpoint{"10.0.0.3", 82}};
   const auto shared = ParseSharedState(ToJson(state));
@@ -93,6 +97,13 @@
   EXPECT_EQ(shared->peers, state.peers);
   EXPECT_EQ(shared->leader->endpoint, (Endpoint{"10.0.0.1", 80}));
   EXPECT_EQ(shared->configuration_text, state.configuration_text);
+  state.servers.reset();
+  EXPECT_FALSE(ParseSharedState(ToJson(state))->servers);
+  const auto request = ParseStateRequest(ToJson(StateRequest{12, 0xfedcba9876543210}));
+  ASSERT_TRUE(request);
+  EXPECT_EQ(request->configuration, 12U);
+  EXPECT_EQ(request->servers_fingerprint, 0xfedcba9876543210);
+  EXPECT_FALSE(ParseStateRequest(ToJson(StateRequest{12, std::nullopt}))->servers_fingerprint);
 }
 
 // Guards against a member that continues to use primaries that the leader no longer grants.
--- a/src/relay_daemon/relay_daemon.cc
+++ b/src/relay_daemon/relay_daemon.cc
@@ -178,7 +178,6 @@
     SharedState state;
     state.configuration = this->relay.Configuration()->version;
     state.configuration_text = this->configuration_text;
-    state.servers = this->servers.Records();
     return state;
   };
   hooks.needs_servers = [this] {
