Compute the connection shares of new members at a bounded rate

A leader computed the shares of all members (servers times members steps) again at the first heartbeat of each member that had none. When a fleet of 300 starts, that is 300 computations of about 0.3 million steps on the process that everything waits for.

The rate is now bounded for such members, too: five times the usual one. Until then they use the share that every process starts with. SharesAreNotComputedForEachNewMember fails without the bound (all 200 members had a share).

--- a/src/include/sycamoredrum/primary_authority.h
+++ b/src/include/sycamoredrum/primary_authority.h
@@ -212,6 +212,9 @@
   /// Base interval between computations of the connection shares. A computation takes servers times
   /// members steps, and a fleet of 80 sends 160 heartbeats a second.
   static constexpr Duration kSharesInterval = std::chrono::milliseconds(250);
+  /// The shares are computed again after this part of the interval if a member has none yet. Until
+  /// then, it uses the share that every process starts with.
+  static constexpr int kSharesIntervalParts = 5;
   /// Added to the interval for each step. A step takes about a microsecond; a hundred times that
   /// bounds the computations to 1% of a core.
   static constexpr Duration kSharesIntervalPerStep = std::chrono::microseconds(100);
--- a/src/leader/primary_authority.cc
+++ b/src/leader/primary_authority.cc
@@ -241,13 +241,17 @@
 }
 
 const std::map<std::string, int>& PrimaryAuthority::ConnectionsOf(const std::string& member) {
+  static const std::map<std::string, int> kNoShares;
   const Duration interval =
       kSharesInterval + kSharesIntervalPerStep *
                             static_cast<std::int64_t>(this->servers.size() * this->members.size());
-  if (this->clock.Now() - this->shares_at >= interval || this->shares.count(member) == 0) {
+  const Duration age = this->clock.Now() - this->shares_at;
+  const bool has_share = this->shares.count(member) != 0;
+  if (age >= interval || (!has_share && age >= interval / kSharesIntervalParts)) {
     this->ComputeShares();
   }
-  return this->shares[member];
+  const auto found = this->shares.find(member);
+  return found == this->shares.end() ? kNoShares : found->second;
 }
 
 void PrimaryAuthority::ComputeShares() {
--- a/src/leader/primary_authority_test.cc
+++ b/src/leader/primary_authority_test.cc
@@ -132,5 +132,26 @@
   EXPECT_EQ(this->authority.OnReport(report).positions.count(kDatabase), 1U);
 }
 
+// Guards against a computation for each member that registers; in a large fleet a leader that has
+// just begun did nothing else.
+TEST_F(PrimaryAuthorityTest, SharesAreNotComputedForEachNewMember) {
+  constexpr int kMembers = 200;
+  this->RunUntil(seconds(1));
+  std::set<std::string> names;
+  std::size_t with_share = 0;
+  for (int i = 0; i < kMembers; ++i) {
+    MemberReport report;
+    report.member = "m" + std::to_string(i);
+    names.insert(report.member);
+    this->authority.SetMembers(names);
+    with_share += this->authority.OnReport(report).connections.empty() ? 0 : 1;
+  }
+  EXPECT_LE(with_share, 1U);
+  this->clock.Advance(seconds(2));
+  MemberReport report;
+  report.member = "m0";
+  EXPECT_FALSE(this->authority.OnReport(report).connections.empty());
+}
+
 }  // namespace
 }  // namespace sycamoredrum
