Send members only the primaries that have changed

Each change of one primary sent all primaries to all members. When a fleet starts, or after a restore, the primaries of hundreds of databases are found within seconds, so a leader of 300 processes and 300 databases sent about 28 KB with each of 375 answers a second.

An answer now holds the changes since the version that the member names, with the databases that have no primary any more. A member applies them to that version or a later one of the same leader, so a lost or late answer leads to a larger next one. ChangesLeadToThePrimariesOfTheLeader plays lost and late answers with 200 seeds; it fails if withdrawn databases are kept, and if the changes of one version are left out.

--- a/src/relay_daemon/fleet_leader.cc
+++ b/src/relay_daemon/fleet_leader.cc
@@ -353,9 +353,7 @@
       kHeartbeatIntervalPerMember * static_cast<std::int64_t>(this->member_revisions.size()),
       kMinHeartbeatInterval, kMaxHeartbeatInterval);
   answer.primaries_version = this->versions.VersionOf(grants.primaries);
-  if (message.epoch != answer.epoch || message.primaries_version != answer.primaries_version) {
-    answer.primaries = grants.primaries;
-  }
+  this->versions.Describe(message.epoch == answer.epoch ? message.primaries_version : 0, answer);
   for (const auto& [server, share] : grants.connections) {
     if (share != kMinShare) {
       answer.connections.emplace(server, share);
--- a/src/relay_daemon/fleet_messages.cc
+++ b/src/relay_daemon/fleet_messages.cc
@@ -198,6 +198,10 @@
     for (const auto& [name, record] : *answer.primaries) {
       json["primaries"][name] = PrimaryJson(record);
     }
+    json["primaries_base"] = answer.primaries_base;
+  }
+  if (!answer.withdrawn.empty()) {
+    json["withdrawn"] = answer.withdrawn;
   }
   // Arrays keep the answers short, because each contains one position per database.
   for (const auto& [name, position] : answer.positions) {
@@ -227,6 +231,8 @@
       for (const auto& [name, record] : json.at("primaries").items()) {
         answer.primaries->emplace(name, DecodePrimary(record));
       }
+      answer.primaries_base = json.at("primaries_base").get<std::uint64_t>();
+      answer.withdrawn = json.value("withdrawn", std::set<std::string>());
     }
     if (json.contains("positions")) {
       for (const auto& [name, position] : json.at("positions").items()) {
--- a/src/relay_daemon/fleet_messages.h
+++ b/src/relay_daemon/fleet_messages.h
@@ -84,8 +84,13 @@
   Duration heartbeat_interval = std::chrono::milliseconds(500);
   /// Version of `primaries`; grows with each change.
   std::uint64_t primaries_version = 0;
+  /// Version that `primaries` and `withdrawn` change to `primaries_version`; 0 if `primaries` holds
+  /// all primaries that may be used.
+  std::uint64_t primaries_base = 0;
   /// Primaries that may be used; absent if the member already has this version.
   std::optional<std::map<std::string, PrimaryRecord>> primaries;
+  /// Databases that have had no primary that may be used since `primaries_base`.
+  std::set<std::string> withdrawn;
   std::map<std::string, PositionMessage> positions;
   /// Connections that the member may open, by backend server; only values other than kMinShare.
   std::map<std::string, int> connections;
--- a/src/relay_daemon/fleet_messages_test.cc
+++ b/src/relay_daemon/fleet_messages_test.cc
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <random>
+#include <vector>
+
 #include "known_primaries.h"
 #include "sycamoredrum/relay_settings.h"
 
@@ -137,6 +140,54 @@
   EXPECT_TRUE(known.Update(answer).empty());
 }
 
+// Guards against a member that keeps the grant of a withdrawn primary, or mixes versions, because
+// an answer with changes was lost or arrived after a later one.
+TEST(KnownPrimariesTest, ChangesLeadToThePrimariesOfTheLeader) {
+  constexpr int kSeeds = 200;
+  constexpr int kSteps = 60;
+  for (int seed = 1; seed <= kSeeds; ++seed) {
+    std::mt19937_64 random(static_cast<std::uint64_t>(seed));
+    PrimaryVersions versions;
+    KnownPrimaries known;
+    std::map<std::string, PrimaryRecord> primaries;
+    std::vector<HeartbeatAnswer> delayed;
+    std::map<std::uint64_t, std::map<std::string, PrimaryRecord>> by_version;
+    for (int step = 1; step <= kSteps; ++step) {
+      const std::string name(1, static_cast<char>('a' + random() % 5));
+      if (random() % 3 == 0) {
+        primaries.erase(name);
+      } else {
+        primaries[name] = PrimaryRecord{"s" + std::to_string(random() % 3),
+                                        static_cast<std::uint64_t>(step), true};
+      }
+      HeartbeatAnswer answer;
+      answer.epoch = 7;
+      answer.primaries_version = versions.VersionOf(primaries);
+      by_version[answer.primaries_version] = primaries;
+      versions.Describe(known.VersionFor(answer.epoch), answer);
+      delayed.push_back(*ParseHeartbeatAnswer(ToJson(answer)));
+      // Some answers are lost, others arrive late.
+      while (!delayed.empty() && random() % 2 == 0) {
+        const std::size_t index = random() % delayed.size();
+        const HeartbeatAnswer received = delayed[index];
+        delayed.erase(delayed.begin() + static_cast<std::ptrdiff_t>(index));
+        if (random() % 4 == 0) {
+          continue;
+        }
+        const auto allowed = known.Update(received);
+        if (!allowed.empty()) {
+          ASSERT_EQ(allowed, by_version.at(received.primaries_version)) << "seed " << seed;
+        }
+      }
+    }
+    HeartbeatAnswer last;
+    last.epoch = 7;
+    last.primaries_version = versions.VersionOf(primaries);
+    versions.Describe(known.VersionFor(last.epoch), last);
+    EXPECT_EQ(known.Update(last), primaries) << "seed " << seed;
+  }
+}
+
 TEST(FleetMessagesTest, UnreadableMessagesAreDropped) {
   for (const char* text : {"", "null", "[]", "{}", "{\"member\":3}", "\xff"}) {
     EXPECT_FALSE(ParseHeartbeat(text)) << text;
