--- a/src/relay_daemon/fleet_member.cc
+++ b/src/relay_daemon/fleet_member.cc
@@ -78,6 +78,7 @@
       last_answer(clock.Now()),
       last_notices(clock.Now()),
       last_state_request(clock.Now()),
+      grants_logged_at(clock.Now()),
       answer_received(clock.Now()) {}
 
 std::map<std::string, PeerHandler> FleetMember::MakeHandlers() {
@@ -250,7 +251,10 @@
   if (needs_state && now - this->last_state_request > kStateRequestInterval) {
     this->RequestState();
   }
-  this->LogGrants();
+  if (now - this->grants_logged_at >= kGrantLogInterval) {
+    this->grants_logged_at = now;
+    this->LogGrants();
+  }
 }
 
 void FleetMember::LogGrants() {
--- a/src/relay_daemon/fleet_member.h
+++ b/src/relay_daemon/fleet_member.h
@@ -77,6 +77,8 @@
   static constexpr Duration kLowCpuCandidateDelay = std::chrono::milliseconds(250);
   /// Number of other members that a member receives, to query them when it has lost the leader.
   static constexpr std::size_t kPeerSampleSize = 8;
+  /// Interval between comparisons of the grants with the last logged ones.
+  static constexpr Duration kGrantLogInterval = std::chrono::milliseconds(250);
   /// With more databases, the leader sends only the positions of those that the member uses; the
   /// first statement on another database asks its primary for the position.
   static constexpr std::size_t kMaxDatabasesWithAllPositions = 32;
@@ -266,6 +268,7 @@
   TimePoint last_answer;  ///< When the last answer of a leader to a heartbeat arrived.
   TimePoint last_notices;
   TimePoint last_state_request;
+  TimePoint grants_logged_at;
   std::size_t next_seed = 0;       ///< Round-robin index over the seeds and `peers`.
   std::uint64_t answer_epoch = 0;  ///< Epoch of the leader that sent `answer_stamp`.
   std::int64_t answer_stamp = 0;   ///< Stamp of the last heartbeat answer.
