--- a/src/leader/primary_authority.cc
+++ b/src/leader/primary_authority.cc
@@ -241,7 +241,7 @@
 }
 
 const std::map<std::string, int>& PrimaryAuthority::ConnectionsOf(const std::string& member) {
-  static const std::map<std::string, int> kNoShares;
+  static const std::map<std::string, int> no_shares;
   const Duration interval =
       kSharesInterval + kSharesIntervalPerStep *
                             static_cast<std::int64_t>(this->servers.size() * this->members.size());
@@ -251,7 +251,7 @@
     this->ComputeShares();
   }
   const auto found = this->shares.find(member);
-  return found == this->shares.end() ? kNoShares : found->second;
+  return found == this->shares.end() ? no_shares : found->second;
 }
 
 void PrimaryAuthority::ComputeShares() {
