--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -e
 cd "$(dirname "$0")"
 mkdir -p out
-for case in late_deregistration; do
+for case in late_deregistration resumed_promotion; do
   g++ -std=c++17 -O1 -pthread -Wall -o "out/$case" "standin/$case.cc" standin/cluster.cc \
     standin/relays.cc
 done
--- a/review/standin/cluster.cc
+++ b/review/standin/cluster.cc
@@ -146,12 +146,13 @@
   std::fflush(file);
 }
 
-int ListenOnFreePort(int* port) {
+int ListenOn(int* port) {
   const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int on = 1;
   setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   sockaddr_in address{};
   address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(*port));
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t size = sizeof address;
   if (bind(listener, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
@@ -256,7 +257,7 @@
 
 int Store::Listen() {
   int port = 0;
-  const int listener = ListenOnFreePort(&port);
+  const int listener = ListenOn(&port);
   std::thread([this, listener] {
     for (int socket = 0; (socket = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC)) >= 0;) {
       const int on = 1;
@@ -321,6 +322,12 @@
 
 std::pair<int, std::string> Store::Handle(const std::string& method, const std::string& target,
                                           const std::string& body) {
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    if (this->busy) {
+      return {503, "{}"};
+    }
+  }
   const std::string path = target.substr(0, target.find('?'));
   const std::string keep = "/sycamoredrum/kv-keep/";
   const std::string end = "/sycamoredrum/kv-lease-end/";
@@ -528,12 +535,19 @@
   this->losing = false;
 }
 
+void Store::SetBusy(bool value) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->busy = value;
+  this->record.Line("store: %s", value ? "answers 503 from now on" : "serves again");
+}
+
 int Store::LateWrites() {
   const std::lock_guard<std::mutex> lock(this->mutex);
   return this->late_writes;
 }
 
 struct Cluster::Session {
+  std::uint64_t boot = 0;  // Of the instance's process that serves it.
   bool transaction = false;
   bool failed = false;
   bool read_only = false;
@@ -551,7 +565,11 @@
 
 void Cluster::Start() {
   for (int number = 0; number < this->options.instances; ++number) {
-    const int listener = ListenOnFreePort(&this->instances[static_cast<std::size_t>(number)].port);
+    Instance& instance = this->instances[static_cast<std::size_t>(number)];
+    // Below the range from which the system takes the ports of outgoing connections.
+    instance.port = FreePort();
+    const int listener = ListenOn(&instance.port);
+    instance.listener = listener;
     this->Register(number);
     std::thread([this, number, listener] { this->Accept(number, listener); }).detach();
   }
@@ -570,6 +588,9 @@
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
     Instance& instance = this->instances[static_cast<std::size_t>(number)];
+    if (!instance.running) {
+      return;
+    }
     entry = {{"service", this->options.service},
              {"addr", "127.0.0.1:" + std::to_string(instance.port)},
              {"zone", "zone-" + std::to_string(number)},
@@ -593,6 +614,38 @@
   this->Register(number);
 }
 
+void Cluster::Crash(int number) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  Instance& instance = this->instances[static_cast<std::size_t>(number)];
+  this->record.Line("instance %s crashes", this->IdOf(number).c_str());
+  instance.running = false;
+  ++instance.boot;
+  shutdown(instance.listener, SHUT_RDWR);
+  close(instance.listener);
+  for (const int socket : instance.sockets) {
+    shutdown(socket, SHUT_RDWR);
+  }
+}
+
+void Cluster::Restart(int number) {
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    Instance& instance = this->instances[static_cast<std::size_t>(number)];
+    instance.running = true;
+    instance.listener = ListenOn(&instance.port);
+    if (number != this->current) {
+      instance.primary = false;
+      instance.log.clear();
+    }
+    this->record.Line("instance %s is back as a %s", this->IdOf(number).c_str(),
+                      instance.primary ? "primary" : "replica");
+    std::thread([this, number, listener = instance.listener] {
+      this->Accept(number, listener);
+    }).detach();
+  }
+  this->Register(number);
+}
+
 int Cluster::Primary() {
   const std::lock_guard<std::mutex> lock(this->mutex);
   return this->current;
@@ -664,12 +717,16 @@
   for (int number = 0; number < this->options.instances; ++number) {
     target = this->IdOf(number) == id ? number : target;
   }
-  if (target < 0) {
+  if (target < 0 || !this->instances[static_cast<std::size_t>(target)].running) {
+    this->record.Line("platform: 409");
     return {409, "{}"};
   }
   if (target == this->current) {
     return {200, "{}"};
   }
+  if (this->accepted) {
+    this->accepted();
+  }
   std::thread([this, target] {
     std::this_thread::sleep_for(this->options.promote);
     int old = -1;
@@ -716,9 +773,19 @@
   Instance& instance = this->instances[static_cast<std::size_t>(number)];
   Reader reader(socket);
   Session session;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    session.boot = instance.boot;
+    instance.sockets.insert(socket);
+  }
+  const auto finish = [&] {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    instance.sockets.erase(socket);
+    close(socket);
+  };
   std::string line;
   if (!reader.Line(&line)) {
-    close(socket);
+    finish();
     return;
   }
   const std::vector<std::string> words = Words(line);
@@ -734,7 +801,7 @@
   }
   if (!named || !admitted) {
     SendAll(socket, named ? "ERR TOOMANY too many connections\r\n" : "ERR MISROUTED wrong name\r\n");
-    close(socket);
+    finish();
     return;
   }
   std::this_thread::sleep_for(this->options.handshake);
@@ -744,9 +811,10 @@
   }
   bool open = SendAll(socket, ready);
   while (open && reader.Line(&line) && line != "BYE") {
-    open = SendAll(socket, this->Query(number, session, line));
+    const std::string answer = this->Query(number, session, line);
+    open = !answer.empty() && SendAll(socket, answer);
   }
-  close(socket);
+  finish();
   const std::lock_guard<std::mutex> lock(this->mutex);
   --instance.connections;
 }
@@ -798,6 +866,9 @@
     lock.lock();
     --instance.busy;
   }
+  if (session.boot != instance.boot) {
+    return "";  // The process has crashed meanwhile.
+  }
   const Time now = Clock::now();
   if (word == "ROLLBACK") {
     session.transaction = session.failed = false;
--- a/review/standin/cluster.h
+++ b/review/standin/cluster.h
@@ -59,6 +59,8 @@
   /// after its arrival if its condition still holds then.
   void LoseWrites(Millis delay);
   void AnswerWrites();
+  /// Refuses all calls with 503, or ends that.
+  void SetBusy(bool value);
   /// Number of lost writes that were executed late.
   int LateWrites();
   /// Called with method, path and body for calls that are not the store's; returns status and body.
@@ -95,6 +97,7 @@
   std::uint64_t rev = 10;
   std::uint64_t next_lease = 1;
   bool losing = false;
+  bool busy = false;
   Millis late{};
   int late_writes = 0;
 };
@@ -135,10 +138,16 @@
   void Start();
   /// The instance reports that it is draining.
   void Drain(int number);
+  /// The process of the instance ends; its log stays.
+  void Crash(int number);
+  /// It starts again, as a replica if another instance was promoted meanwhile.
+  void Restart(int number);
   int Primary();
   /// Answers POST /failover.
   std::pair<int, std::string> Failover(const std::map<std::string, std::string>& headers,
                                        const std::string& body);
+  /// Called when a promotion that changes the primary is accepted.
+  std::function<void()> accepted;
   /// Called when a promotion has taken effect.
   std::function<void(int)> promoted;
 
@@ -160,6 +169,10 @@
     int port = 0;
     bool primary = false;
     bool draining = false;
+    bool running = true;
+    int listener = -1;
+    std::uint64_t boot = 1;  // Number of the process.
+    std::set<int> sockets;
     std::uint64_t term = 1;
     std::uint64_t seq = 0;
     std::vector<Entry> log;  // Only of an instance that leads or has led without stepping down yet.
@@ -186,8 +199,8 @@
   std::uint64_t last_fence = 0;
 };
 
-/// Helpers over blocking sockets.
-int ListenOnFreePort(int* port);
+/// Helpers over blocking sockets. Listens on `*port`, or on a free one if it is 0.
+int ListenOn(int* port);
 int ConnectTo(int port);
 bool SendAll(int socket, const std::string& bytes);
 /// A port of 127.0.0.1 that is free now.
