Give the registration of a member a class of its own

Cause: the simulation of the fleet wrote registrations past the code of the product, so it could not find faults in how a process registers, registers again and leaves.

Change: MemberRegistration holds what FleetMember did, without a change of behaviour; the simulated process uses it and can stop gracefully.

--- a/src/relay_daemon/fleet_member.cc
+++ b/src/relay_daemon/fleet_member.cc
@@ -70,6 +70,7 @@
                     loop, random),
       members_mirror(platform.store, MakeMembersMirrorOptions(), this->MakeMembersMirrorHooks(),
                      clock, loop, random),
+      registration(platform.store, this->self, this->MakeRegistrationHooks(), clock, loop, logger),
       peer_server(loop, this->identity, PeerOptions{}, this->MakeHandlers()),
       started(clock.Now()),
       store_confirmed_at(clock.Now()),
@@ -81,6 +82,20 @@
       grants_logged_at(clock.Now()),
       answer_received(clock.Now()) {}
 
+// A member registers before it reads the leader's key. So a later leader finds the registration,
+// and the member finds an earlier leader by the key.
+MemberRegistrationHooks FleetMember::MakeRegistrationHooks() {
+  MemberRegistrationHooks result;
+  result.store_reachable = [this] { this->hooks.store_reachable(); };
+  result.registered = [this] {
+    if (!std::exchange(this->mirrors_started, true)) {
+      this->leader_mirror.Start();
+      this->members_mirror.Start();
+    }
+  };
+  return result;
+}
+
 std::map<std::string, PeerHandler> FleetMember::MakeHandlers() {
   std::map<std::string, PeerHandler> handlers;
   const auto unreadable = [](const PeerRespond& respond) {
@@ -203,7 +218,7 @@
     this->last_reason = this->peer_server.LastReason();
     return false;
   }
-  this->Register();
+  this->registration.Start();
   return true;
 }
 
@@ -363,7 +378,8 @@
 
 void FleetMember::OnAnswer(const HeartbeatAnswer& answer, TimePoint sent) {
   if (!answer.registered) {
-    this->RegisterAgain();
+    // The leader removes the registration of a member that sent no heartbeat for long.
+    this->registration.RegisterAgain();
   }
   if (answer.epoch == 0) {
     this->store_in_reach = false;
@@ -524,7 +540,7 @@
 }
 
 void FleetMember::PrepareToLeave() {
-  this->leaving = true;
+  this->registration.StopRetrying();
   this->leader_role.Resign("the process stops", std::chrono::hours(1));
 }
 
@@ -539,13 +555,7 @@
     }
   };
   this->loop.RunAfter(kLeaveTimeout, finish);
-  if (this->own_revision == 0) {
-    this->loop.Post(finish);
-    return;
-  }
-  this->platform.store.write(ConditionalWrite{absl::StrCat(kMembersPrefix, this->self.member),
-                                              this->own_revision, std::nullopt, 0},
-                             {}, [finish](PlatformStatus, std::uint64_t) { finish(); });
+  this->registration.Remove(finish);
 }
 
 }  // namespace sycamoredrum
--- a/src/relay_daemon/fleet_member.h
+++ b/src/relay_daemon/fleet_member.h
@@ -10,6 +10,7 @@
 
 #include "fleet_leader.h"
 #include "fleet_messages.h"
+#include "member_registration.h"
 #include "sycamoredrum/event_loop.h"
 #include "sycamoredrum/log.h"
 #include "sycamoredrum/metrics.h"
@@ -61,9 +62,6 @@
   static constexpr Duration kRetryDelayPerMember = std::chrono::milliseconds(8);
   /// Minimum interval between the leader's watches of the registrations.
   static constexpr Duration kMembersWatchInterval = std::chrono::milliseconds(100);
-  /// Minimum interval between two registrations of a member whose registration the leader reports
-  /// as missing.
-  static constexpr Duration kRegisterAgainInterval = std::chrono::seconds(2);
   /// Links to members that a new leader opens per tick, before it needs them for revocations. 300
   /// links are open after four seconds; each takes about a millisecond of CPU time.
   static constexpr std::size_t kLinksPerTick = 4;
@@ -170,17 +168,11 @@
   /// True in a large fleet if the leader is reachable and can reach the store.
   bool LeaderReadsStore() const;
   bool MayRequestServers() const;
+  MemberRegistrationHooks MakeRegistrationHooks();
   StoreMirrorHooks MakeLeaderMirrorHooks();
   StoreMirrorHooks MakeMembersMirrorHooks();
   /// Endpoints of at most kPeerSampleSize random members.
   std::vector<Endpoint> SamplePeers();
-  void Register();
-  void LookUpRegistration();
-  void OnRegistrationLookup(const std::string& key, const StorePage& page);
-  void WriteRegistration(std::uint64_t revision);
-  void Registered(std::uint64_t revision);
-  void RegisterAgain();
-  void RetryRegistration();
   void OnLeaderKey(const StoreEvent& event);
   void OnMemberKey(const StoreEvent& event);
   void OnStoreRestored(const std::string& keys, std::uint64_t era);
@@ -227,6 +219,7 @@
   FleetLeader leader_role;
   StoreMirror leader_mirror;   ///< Mirror of the leader's key.
   StoreMirror members_mirror;  ///< Mirror of the registrations; runs only while this process leads.
+  MemberRegistration registration;
   PeerServer peer_server;
   std::map<Endpoint, std::unique_ptr<PeerLink>> links;
   /// Registered members, and those whose registration the store has lost; updated only while this
@@ -242,19 +235,12 @@
   /// Generation of the last logged grant, by database; 0 for none.
   std::map<std::string, std::optional<std::uint64_t>> logged_grants;
   TimePoint started;
-  std::uint64_t own_revision = 0;  ///< Store revision of this member's registration.
-  std::optional<TimePoint> registered_at;
-  bool registering = false;
   TimePoint store_confirmed_at;  ///< When a leader last reported that it can reach the store.
   TimePoint last_servers_request;
-  Duration own_records_jitter{};         ///< Added to kOwnRecordsTimeInLargeFleet.
-  std::uint64_t registration_round = 0;  ///< Answers to lookups of earlier rounds are ignored.
-  std::size_t lookups_in_flight = 0;
-  Duration lookup_retry_delay{};
-  bool mirror_started = false;
+  Duration own_records_jitter{};  ///< Added to kOwnRecordsTimeInLargeFleet.
+  bool mirrors_started = false;
   bool store_in_reach = false;   ///< From the leader's last answer.
   std::size_t fleet_size = 0;    ///< From a leader's last answer; 0: not known yet.
-  bool leaving = false;          ///< PrepareToLeave() was called.
   bool left = false;             ///< Leave() was called.
   bool members_changed = false;  ///< The leader role's update is scheduled.
   bool heartbeat_in_flight = false;
--- a/src/relay_daemon/simulated_fleet_test.h
+++ b/src/relay_daemon/simulated_fleet_test.h
@@ -15,6 +15,7 @@
 #include "../leader/fake_store_test.h"
 #include "../relay/simulated_database_test.h"
 #include "fleet_leader.h"
+#include "member_registration.h"
 #include "sycamoredrum/store_mirror.h"
 
 namespace sycamoredrum {
@@ -33,6 +34,8 @@
   void OnAnswer(const HeartbeatAnswer& answer, TimePoint sent);
   RevocationAnswer OnRevocation(const RevocationMessage& message);
   bool MayAcceptGrants() const;
+  /// Begins a graceful stop, which takes `drain_time` until the registration is removed.
+  void Stop(Duration drain_time);
 
   SimulatedFleet& fleet;
   const int number;
@@ -44,6 +47,9 @@
   KnownPrimaries known_primaries;
   std::unique_ptr<FleetLeader> leader;
   std::unique_ptr<StoreMirror> mirror;
+  std::unique_ptr<MemberRegistration> registration;
+  bool mirror_started = false;
+  bool left = false;  ///< Sends no heartbeats; the registration is being removed.
   std::map<std::string, std::uint64_t> members;
   int leader_number = -1;
   TimePoint started;
@@ -74,6 +80,7 @@
         std::make_unique<Node>(*this, number, ++this->incarnations);
   }
 
+  /// Kills a process.
   void StopNode(int number) { this->nodes[static_cast<std::size_t>(number)].reset(); }
 
   bool Frozen(int number) const {
@@ -261,8 +268,6 @@
       this->platform, this->self, Duration::zero(), hooks, fleet.clock, fleet.clock,
       [&fleet] { return fleet.random(); }, this->logger, this->metrics);
   this->leader->SetDatabases({{"db", 21}});
-  // A member is registered from its start; a restarted one still is.
-  fleet.store.Put(kMembersPrefix + this->self.member, ToJson(this->self));
   StoreMirrorHooks mirror_hooks;
   mirror_hooks.changed = [this](const StoreEvent& event) {
     if (event.item.key == kLeaderKey) {
@@ -280,10 +285,6 @@
       } else {
         this->members.erase(member);
       }
-      if (event.removed && member == this->self.member) {
-        // The leader removed the registration, because this member sent no heartbeat for long.
-        this->fleet.store.Put(event.item.key, ToJson(this->self));
-      }
       this->leader->SetMembers(this->members);
     }
   };
@@ -296,7 +297,34 @@
   this->mirror = std::make_unique<StoreMirror>(
       this->platform.store, StoreMirrorOptions{kFleetPrefix}, mirror_hooks, fleet.clock,
       fleet.clock, [&fleet] { return fleet.random(); });
-  this->mirror->Start();
+  MemberRegistrationHooks registration_hooks;
+  registration_hooks.store_reachable = [] {};
+  registration_hooks.registered = [this] {
+    if (!std::exchange(this->mirror_started, true)) {
+      this->mirror->Start();
+    }
+  };
+  this->registration = std::make_unique<MemberRegistration>(
+      this->platform.store, this->self, registration_hooks, fleet.clock, fleet.clock, this->logger);
+  this->registration->Start();
+}
+
+inline void Node::Stop(Duration drain_time) {
+  this->registration->StopRetrying();
+  this->leader->Resign("the process stops", std::chrono::hours(1));
+  this->fleet.clock.RunAfter(drain_time, [this, weak = std::weak_ptr<bool>(this->alive)] {
+    if (weak.expired()) {
+      return;
+    }
+    const auto end = [this, weak] {
+      if (!weak.expired()) {
+        this->fleet.StopNode(this->number);
+      }
+    };
+    this->left = true;
+    this->fleet.clock.RunAfter(milliseconds(400), end);
+    this->registration->Remove(end);
+  });
 }
 
 inline bool Node::MayAcceptGrants() const {
@@ -325,7 +353,7 @@
 
 inline void Node::OnAnswer(const HeartbeatAnswer& answer, TimePoint sent) {
   if (!answer.registered) {
-    this->fleet.store.Put(kMembersPrefix + this->self.member, ToJson(this->self));
+    this->registration->RegisterAgain();
   }
   if (answer.epoch == 0 || !this->MayAcceptGrants() || !this->grants.Adopt(answer.epoch)) {
     return;
@@ -363,7 +391,7 @@
     const SimulatedDatabase::Server& server = this->fleet.database.servers.at(grant->server);
     this->answered_at = server.silent || server.down ? this->answered_at : now;
   }
-  if (this->leader_number < 0 || now - this->last_heartbeat < milliseconds(500)) {
+  if (this->left || this->leader_number < 0 || now - this->last_heartbeat < milliseconds(500)) {
     return;
   }
   this->last_heartbeat = now;
