Register anew at each start of a process

Cause, first part: a starting process took over the registration of its former start when the address was the same. Its revision did not change, so the removal that the former process had requested on leaving, and whose answer was lost, still met its condition seconds later. The running process then held grants without a registration, which no leader waits for.

The late removal then meets another revision.

Ruled out: removing the condition's dependence on timing (waiting for late writes), as the store gives no bound for them. Cost: one write per start of a process.

--- a/src/relay_daemon/member_registration.cc
+++ b/src/relay_daemon/member_registration.cc
@@ -73,8 +73,9 @@
                                   [this](const KeyValue& item) { return item.key == this->key; });
   const std::optional<MemberRecord> known =
       found == page.items.end() ? std::nullopt : ParseMemberRecord(found->value);
-  if (known && known->endpoint == this->self.endpoint) {
-    // Registered before a restart of this process, or by a write whose answer was lost.
+  const bool own = known && known->incarnation == this->self.incarnation;
+  if (own && found->revision != this->revision) {
+    // Written by a call of this process whose answer was lost.
     this->Registered(found->revision);
     return;
   }
--- a/src/relay_daemon/member_registration.h
+++ b/src/relay_daemon/member_registration.h
@@ -19,7 +19,11 @@
   std::function<void()> registered;
 };
 
-/// The registration of this process in the store. Not thread-safe.
+/// The registration of this process in the store.
+///
+/// Each registration is a write of its own, also if the store has one of an earlier start of the
+/// process. A removal of the earlier one that takes effect late then finds another revision, and
+/// has no effect. Not thread-safe.
 class MemberRegistration {
  public:
   /// Minimum interval between two registrations of a member whose registration the leader reports
