--- a/src/relay_daemon/fleet_simulation_test.cc
+++ b/src/relay_daemon/fleet_simulation_test.cc
@@ -337,6 +337,8 @@
       this->fleet.database.At(i).down = false;
       this->fleet.database.At(i).record.state = BackendServerState::kReady;
     }
+    // Graceful stops that have begun end first.
+    this->fleet.Advance(seconds(1));
     for (int i = 0; i < this->size; ++i) {
       this->fleet.frozen_until[static_cast<std::size_t>(i)] = this->fleet.clock.Now();
       if (!this->fleet.nodes[static_cast<std::size_t>(i)]) {
