Keep the holders of grants in the leader's book until the grants end

Cause, second part: the leader forgot a member together with its registration, although the grant that it had given is valid for 4 s, and when the member registered again its entry began with an earlier end. A replacement in that time neither revoked the grant nor waited for its end.

Change: GrantHolders states the invariant and is the only place that knows until when a member may hold grants. Removal, silence, a new registration and a new leadership of the same process leave it as it is; only time, an acknowledged revocation, or the word of the holder ends a wait. A process that leaves says so to the leader, so that a graceful stop delays no replacement; heartbeats carry the revision of the registration, so that a late message of this kind does not end the grants of the next start.

Evidence: PromotionWaitsForAMemberWhoseRegistrationWasRemoved fails with the former behaviour (promotion 0.4 s to 1.6 s after the grant instead of 4 s). Ruled out: taking a removed registration as the word of the holder, as the removal may be that of an earlier start.

--- a/src/include/sycamoredrum/primary_authority.h
+++ b/src/include/sycamoredrum/primary_authority.h
@@ -15,6 +15,7 @@
 #include "sycamoredrum/clock.h"
 #include "sycamoredrum/coordination_store.h"
 #include "sycamoredrum/freshness_window.h"
+#include "sycamoredrum/grant_holders.h"
 #include "sycamoredrum/log.h"
 #include "sycamoredrum/platform.h"
 #include "sycamoredrum/relay_configuration.h"
@@ -67,6 +68,8 @@
 /// Content of a member's heartbeat.
 struct MemberReport {
   std::string member;
+  /// Revision of the registration of the member's process; 0 if it has not registered yet.
+  std::uint64_t registration = 0;
   std::uint64_t epoch = 0;  ///< Epoch of the latest leader that the member accepts.
   std::map<std::string, DatabaseReport> databases;
   std::set<std::string> unreachable;  ///< Backend servers that fail or do not answer the member.
@@ -248,6 +251,11 @@
   /// Handles a heartbeat and returns the answer, which has epoch 0 if this process does not lead or
   /// does not know the member.
   GrantSet OnReport(const MemberReport& report);
+  /// The process of `member` that registered with revision `registration` stops and uses no grant
+  /// any more.
+  void OnGrantsGivenBack(const std::string& member, std::uint64_t registration) {
+    this->holders.GaveBack(member, registration);
+  }
 
   /// Detects failures and continues replacements; to be called about every 50 ms.
   void Tick();
@@ -265,8 +273,6 @@
 
   struct Member {
     TimePoint last_heartbeat;
-    TimePoint granted_until;              ///< Grants of this leader may be used until then.
-    TimePoint predecessor_granted_until;  ///< Grants of earlier leaders may be used until then.
     bool heartbeat_received = false;
     MemberReport report;
   };
@@ -297,7 +303,8 @@
     std::optional<TimePoint> successor_search_started;  ///< Of the search for a hand-over.
     /// Newest position known when the search started; the successor must have it.
     LogPosition min_successor_position;
-    std::set<std::string> awaiting;  ///< Members whose grants may still be used.
+    /// Members whose grants of the database may still be used, since the replacement began.
+    std::set<std::string> awaiting;
     std::map<std::string, BackendProbe> candidates;
     std::size_t discovery_probes_in_flight = 0;
     std::optional<LogPosition> final_position;  ///< End of the old primary's log.
@@ -334,7 +341,7 @@
   void RenewGeneration(const std::string& name, Database& database);
   void Replace(const std::string& name, Database& database, bool planned,
                const std::string& reason);
-  void AwaitAllMembers(Database& database) const;
+  void AwaitAllHolders(Database& database) const;
   void SendRevocations(const std::string& name, Database& database);
   void OnRevocation(const std::string& name, std::uint64_t step, const std::string& member,
                     bool acknowledged, const std::optional<LogPosition>& newest);
@@ -363,7 +370,6 @@
   std::vector<const BackendServerRecord*> ServersOf(const std::string& database) const;
   const BackendServerRecord* Find(const std::string& server) const;
   Database* DatabaseAtStep(const std::string& name, std::uint64_t step);
-  TimePoint GrantsEnd(const Member& member) const;
 
   PrimaryAuthorityHooks hooks;
   const Duration predecessor_lease;
@@ -379,6 +385,7 @@
   TimePoint settled_from;  ///< Records are stored as settled from then on.
   std::map<std::string, BackendServerRecord> servers;
   std::map<std::string, Member> members;
+  GrantHolders holders;
   std::map<std::string, Database> databases;
   std::map<std::string, int> connection_caps;
   std::map<std::string, std::map<std::string, int>> shares;  ///< By member and backend server.
--- a/src/include/sycamoredrum/primary_grants.h
+++ b/src/include/sycamoredrum/primary_grants.h
@@ -52,6 +52,9 @@
   /// acknowledged to the leader.
   void FinishRevocation(const std::string& database);
 
+  /// Drops all grants. To be called when the process stops, before it tells the leader.
+  void DropAll() { this->entries.clear(); }
+
   /// The grant of `database`, or nothing if there is none under which statements may be started
   /// now.
   std::optional<PrimaryGrant> Current(const std::string& database) const;
--- a/src/leader/primary_authority.cc
+++ b/src/leader/primary_authority.cc
@@ -78,7 +78,7 @@
       database.target = database.record.server;
       database.resume_promotion = true;
       this->Enter(name, database, Phase::kRevoke);
-      this->AwaitAllMembers(database);
+      this->AwaitAllHolders(database);
       this->SendRevocations(name, database);
     }
   }
@@ -111,10 +111,9 @@
     if (this->members.count(name) == 0) {
       Member member;
       member.last_heartbeat = now;
-      member.granted_until = this->leadership_began;
-      member.predecessor_granted_until =
-          this->leadership_began + this->predecessor_lease + kGrantValidity;
       this->members.emplace(name, member);
+      this->holders.AddPredecessorGrants(
+          name, this->leadership_began + this->predecessor_lease + kGrantValidity);
     }
   }
 }
@@ -178,10 +177,6 @@
   return found == this->servers.end() ? nullptr : &found->second;
 }
 
-TimePoint PrimaryAuthority::GrantsEnd(const Member& member) const {
-  return std::max(member.granted_until, member.predecessor_granted_until);
-}
-
 GrantSet PrimaryAuthority::OnReport(const MemberReport& report) {
   GrantSet grants;
   const auto found = this->members.find(report.member);
@@ -194,9 +189,7 @@
   member.last_heartbeat = now;
   member.report = report;
   if (report.epoch == this->epoch) {
-    // The member no longer accepts grants of earlier leaders; those that it holds expire.
-    member.predecessor_granted_until =
-        std::min(member.predecessor_granted_until, now + kGrantValidity);
+    this->holders.LimitPredecessorGrants(report.member, now + kGrantValidity);
   }
   for (const auto& [name, state] : report.databases) {
     const auto known = this->databases.find(name);
@@ -236,7 +229,7 @@
       grants.positions.emplace(name, *database.newest);
     }
   }
-  member.granted_until = now + kGrantValidity;
+  this->holders.Granted(report.member, report.registration, now + kGrantValidity);
   return grants;
 }
 
@@ -294,6 +287,7 @@
     return;
   }
   this->CheckContact();
+  this->holders.ForgetExpired(this->clock.Now());
   for (auto& [name, database] : this->databases) {
     switch (database.phase) {
       case Phase::kDiscover:
--- a/src/leader/primary_authority_test.cc
+++ b/src/leader/primary_authority_test.cc
@@ -20,6 +20,7 @@
 constexpr Duration kLease = seconds(3);
 constexpr Duration kTick = milliseconds(50);
 constexpr std::uint64_t kRestoredEra = 2;
+constexpr std::uint64_t kRegistration = MakeRevision(kRestoredEra, 7);
 
 /// A new leader, elected right after the store has returned from an older copy, with one registered
 /// member and two servers that answer at once.
@@ -46,8 +47,10 @@
 
   PrimaryAuthorityHooks MakeHooks() {
     PrimaryAuthorityHooks hooks;
-    hooks.revoke = [](const std::string&, std::uint64_t, const std::string&, std::uint64_t, bool,
-                      const RevocationCallback& done) { done(true, std::nullopt); };
+    hooks.revoke = [this](const std::string&, std::uint64_t, const std::string&, std::uint64_t,
+                          bool, const RevocationCallback& done) {
+      done(this->revocations_acknowledged, std::nullopt);
+    };
     hooks.probe = [this](const BackendServerRecord& server,
                          const std::function<void(const BackendProbe&)>& done) {
       done(this->servers[server.id]);
@@ -59,7 +62,7 @@
     hooks.promote = [this](const std::string&, const std::string& server, std::uint64_t,
                            const std::function<void(PromoteOutcome)>& done) {
       this->promoted_at[server] = this->clock.Now();
-      this->SetRole(server, Role::kPrimary, 6);
+      this->SetRole(server, Role::kPrimary, ++this->term);
       done(PromoteOutcome::kAccepted);
     };
     hooks.demote = [](const BackendServerRecord&, std::uint64_t) {};
@@ -81,6 +84,7 @@
       this->authority.Tick();
       MemberReport report;
       report.member = "registered";
+      report.registration = kRegistration;
       report.epoch = MakeRevision(kRestoredEra, 1);
       for (const auto& [database, record] : this->authority.OnReport(report).primaries) {
         this->granted.insert(record.server);
@@ -93,6 +97,8 @@
   Logger logger;
   std::map<std::string, BackendProbe> servers;
   std::uint64_t writes = 1;
+  std::uint64_t term = 5;  ///< Of the last promotion.
+  bool revocations_acknowledged = true;
   std::map<std::string, TimePoint> promoted_at;
   std::set<std::string> granted;  ///< Servers that the member was granted as the primary.
   PrimaryAuthority authority;
@@ -153,5 +159,52 @@
   EXPECT_FALSE(this->authority.OnReport(report).connections.empty());
 }
 
+// Guards against commits that are lost because a member whose registration was removed goes on
+// using a replaced primary. It makes no difference that the member registers again meanwhile.
+TEST_F(PrimaryAuthorityTest, PromotionWaitsForAMemberWhoseRegistrationWasRemoved) {
+  for (const bool registers_again : {false, true}) {
+    const Duration removal = this->clock.Now() - this->restored_at + seconds(20);
+    this->RunUntil(removal);
+    const std::string primary = *this->granted.rbegin();
+    const std::string other = primary == "a" ? "b" : "a";
+    const TimePoint granted_at = this->clock.Now() - kTick;
+    this->promoted_at.clear();
+    this->granted.clear();
+    this->authority.SetMembers({});
+    if (registers_again) {
+      this->authority.SetMembers({"registered"});
+    }
+    this->servers[primary].outcome = ProbeOutcome::kNotListening;
+    this->revocations_acknowledged = false;
+    while (this->promoted_at.empty() && this->clock.Now() < granted_at + seconds(20)) {
+      this->authority.Tick();
+      this->clock.Advance(kTick);
+    }
+    ASSERT_EQ(this->promoted_at.count(other), 1U) << registers_again;
+    EXPECT_GE(this->promoted_at[other] - granted_at, PrimaryAuthority::kGrantValidity)
+        << registers_again;
+    this->servers[primary].outcome = ProbeOutcome::kAnswered;
+    this->servers[primary].role = Role::kReplica;
+    this->servers[primary].term = this->servers[other].term;
+    this->revocations_acknowledged = true;
+    this->authority.SetMembers({"registered"});
+  }
+}
+
+TEST_F(PrimaryAuthorityTest, PromotionDoesNotWaitForAMemberThatGaveItsGrantsBack) {
+  this->RunUntil(seconds(20));
+  ASSERT_EQ(this->granted, std::set<std::string>{"a"});
+  this->authority.SetMembers({});
+  this->authority.OnGrantsGivenBack("registered", kRegistration);
+  this->servers["a"].outcome = ProbeOutcome::kNotListening;
+  const TimePoint failed_at = this->clock.Now();
+  while (this->promoted_at.empty() && this->clock.Now() < failed_at + seconds(20)) {
+    this->authority.Tick();
+    this->clock.Advance(kTick);
+  }
+  ASSERT_EQ(this->promoted_at.count("b"), 1U);
+  EXPECT_LE(this->promoted_at["b"] - failed_at, seconds(2));
+}
+
 }  // namespace
 }  // namespace sycamoredrum
--- a/src/leader/primary_replacement.cc
+++ b/src/leader/primary_replacement.cc
@@ -32,15 +32,17 @@
   database.candidates.clear();
   ++database.replacement;
   this->Enter(name, database, Phase::kRevoke);
-  this->AwaitAllMembers(database);
+  this->AwaitAllHolders(database);
   this->SendRevocations(name, database);
   if (!planned) {
     this->ProbeCandidates(name, database);
   }
 }
 
-void PrimaryAuthority::AwaitAllMembers(Database& database) const {
-  database.awaiting.clear();
+// Members without a grant are asked as well; a planned change needs the newest position that they
+// know.
+void PrimaryAuthority::AwaitAllHolders(Database& database) const {
+  database.awaiting = this->holders.HoldersAt(this->clock.Now());
   for (const auto& [member, state] : this->members) {
     database.awaiting.insert(member);
   }
@@ -85,8 +87,7 @@
   }
   const TimePoint now = this->clock.Now();
   for (auto member = database.awaiting.begin(); member != database.awaiting.end();) {
-    const auto state = this->members.find(*member);
-    const bool expired = state == this->members.end() || now >= this->GrantsEnd(state->second);
+    const bool expired = now >= this->holders.End(*member);
     member = expired ? database.awaiting.erase(member) : std::next(member);
   }
   // A member whose registration the store has lost is not asked, but its grant still ends.
--- a/src/leader/primary_watch.cc
+++ b/src/leader/primary_watch.cc
@@ -85,11 +85,11 @@
   if (now + kRevocationLead < this->lost_grants_end) {
     return false;
   }
-  return std::all_of(this->members.begin(), this->members.end(), [&](const auto& entry) {
-    const Member& member = entry.second;
-    const bool in_contact =
-        member.heartbeat_received && now - member.last_heartbeat < kMemberSilence;
-    return in_contact || now + kRevocationLead >= this->GrantsEnd(member);
+  const std::set<std::string> last_holders = this->holders.HoldersAt(now + kRevocationLead);
+  return std::all_of(last_holders.begin(), last_holders.end(), [&](const std::string& name) {
+    const auto member = this->members.find(name);
+    return member != this->members.end() && member->second.heartbeat_received &&
+           now - member->second.last_heartbeat < kMemberSilence;
   });
 }
 
--- a/src/relay_daemon/fleet_leader.cc
+++ b/src/relay_daemon/fleet_leader.cc
@@ -310,14 +310,29 @@
   }
 }
 
+// The message may arrive after the first heartbeats of the next start of the process.
+void FleetLeader::OnGrantsReturned(const HeartbeatMessage& message) {
+  const auto present = this->member_revisions.find(message.member);
+  if (present != this->member_revisions.end() && message.registration < present->second) {
+    return;
+  }
+  this->logger.Info("grants_returned", {{"member", message.member}});
+  this->authority.OnGrantsGivenBack(message.member, message.registration);
+}
+
 HeartbeatAnswer FleetLeader::OnHeartbeat(const HeartbeatMessage& message) {
   HeartbeatAnswer answer;
   if (!this->Leading()) {
     return answer;
   }
+  if (message.grants_returned) {
+    this->OnGrantsReturned(message);
+    return answer;
+  }
   const TimePoint now = this->clock.Now();
   MemberReport report;
   report.member = message.member;
+  report.registration = message.registration;
   report.epoch = message.epoch;
   report.unreachable = message.unreachable;
   report.demand = message.demand;
--- a/src/relay_daemon/fleet_leader.h
+++ b/src/relay_daemon/fleet_leader.h
@@ -106,6 +106,7 @@
                    const std::function<void(PlatformStatus, std::uint64_t)>& done);
   void ResolveUnknownWrite(const std::string& key, const std::string& value,
                            const std::function<void(PlatformStatus, std::uint64_t)>& done);
+  void OnGrantsReturned(const HeartbeatMessage& message);
   void RemoveSilentMembers();
   void ReplaceRegistrations(const std::map<std::string, std::uint64_t>& revisions);
   std::set<std::string> Members() const;
--- a/src/relay_daemon/fleet_member.cc
+++ b/src/relay_daemon/fleet_member.cc
@@ -309,6 +309,7 @@
   const TimePoint now = this->clock.Now();
   HeartbeatMessage message;
   message.member = this->self.member;
+  message.registration = this->registration.Revision();
   message.epoch = this->grants.Epoch();
   message.configuration = this->configuration_version;
   message.primaries_version = this->known_primaries.VersionFor(message.epoch);
@@ -377,6 +378,9 @@
 }
 
 void FleetMember::OnAnswer(const HeartbeatAnswer& answer, TimePoint sent) {
+  if (this->left) {
+    return;
+  }
   if (!answer.registered) {
     // The leader removes the registration of a member that sent no heartbeat for long.
     this->registration.RegisterAgain();
@@ -545,9 +549,10 @@
 }
 
 // The registration is removed last. While it exists, no other server is promoted before this
-// process has given its grants back.
+// process has given its grants back or they have expired.
 void FleetMember::Leave(std::function<void()> done) {
   this->left = true;
+  this->grants.DropAll();
   const auto once = std::make_shared<std::function<void()>>(std::move(done));
   const auto finish = [once] {
     if (const auto action = std::exchange(*once, nullptr)) {
@@ -555,7 +560,30 @@
     }
   };
   this->loop.RunAfter(kLeaveTimeout, finish);
-  this->registration.Remove(finish);
+  // The process ends when the store and the leader have answered.
+  const auto answers = std::make_shared<int>(2);
+  const auto answered = [answers, finish] {
+    if (--*answers == 0) {
+      finish();
+    }
+  };
+  this->ReturnGrants(answered);
+  this->registration.Remove(answered);
+}
+
+// Without this message, the leader waits until the grants expire before it promotes another server.
+void FleetMember::ReturnGrants(std::function<void()> done) {
+  if (!this->leader || this->leader->member == this->self.member) {
+    this->loop.Post(std::move(done));
+    return;
+  }
+  HeartbeatMessage message;
+  message.member = this->self.member;
+  message.registration = this->registration.Revision();
+  message.grants_returned = true;
+  this->LinkTo(this->leader->endpoint)
+      .Call("heartbeat", ToJson(message), kRequestTimeout,
+            [done = std::move(done)](const PeerAnswer&) { done(); });
 }
 
 }  // namespace sycamoredrum
--- a/src/relay_daemon/fleet_member.h
+++ b/src/relay_daemon/fleet_member.h
@@ -180,6 +180,7 @@
   void SetLeader(const MemberRecord& record, std::uint64_t epoch);
   bool MayAcceptGrants() const;
 
+  void ReturnGrants(std::function<void()> done);
   void SendHeartbeat();
   HeartbeatMessage MakeHeartbeat();
   /// True if `report` contains observations that must be sent to the leader.
--- a/src/relay_daemon/fleet_messages.cc
+++ b/src/relay_daemon/fleet_messages.cc
@@ -140,6 +140,7 @@
 
 std::string ToJson(const HeartbeatMessage& message) {
   Json json = {{"member", message.member},
+               {"registration", message.registration},
                {"epoch", message.epoch},
                {"configuration", message.configuration},
                {"echoed_stamp", message.echoed_stamp},
@@ -148,6 +149,9 @@
   for (const auto& [name, report] : message.databases) {
     json["databases"][name] = ReportJson(report);
   }
+  if (message.grants_returned) {
+    json["grants_returned"] = true;
+  }
   if (!message.unreachable.empty()) {
     json["unreachable"] = message.unreachable;
   }
@@ -164,6 +168,8 @@
   return Parse<HeartbeatMessage>(text, [](const Json& json) {
     HeartbeatMessage message;
     message.member = json.at("member").get<std::string>();
+    message.registration = json.at("registration").get<std::uint64_t>();
+    message.grants_returned = json.value("grants_returned", false);
     message.epoch = json.at("epoch").get<std::uint64_t>();
     message.configuration = json.at("configuration").get<std::uint64_t>();
     message.echoed_stamp = json.at("echoed_stamp").get<std::int64_t>();
--- a/src/relay_daemon/fleet_messages.h
+++ b/src/relay_daemon/fleet_messages.h
@@ -41,6 +41,10 @@
 /// Heartbeat that a member sends to the leader.
 struct HeartbeatMessage {
   std::string member;
+  /// Revision of the registration that this process wrote; 0 if it has not registered yet.
+  std::uint64_t registration = 0;
+  /// The process stops and has ended the use of all grants; it sends no further heartbeat.
+  bool grants_returned = false;
   std::uint64_t epoch = 0;
   std::uint64_t configuration = 0;  ///< Version in use.
   /// Stamp of the last answer and the time since its receipt. From both, the leader derives the
--- a/src/relay_daemon/fleet_messages_test.cc
+++ b/src/relay_daemon/fleet_messages_test.cc
@@ -16,6 +16,7 @@
 TEST(FleetMessagesTest, HeartbeatsKeepTheirContent) {
   HeartbeatMessage message;
   message.member = "m1";
+  message.registration = 31;
   message.epoch = 7;
   message.configuration = 12;
   message.echoed_stamp = 123456789;
@@ -35,6 +36,8 @@
   message.used_databases = {"orders"};
   const auto parsed = ParseHeartbeat(ToJson(message));
   ASSERT_TRUE(parsed);
+  EXPECT_EQ(parsed->registration, 31U);
+  EXPECT_FALSE(parsed->grants_returned);
   EXPECT_EQ(parsed->epoch, 7U);
   EXPECT_EQ(parsed->echo_held, milliseconds(40));
   const DatabaseReportMessage& database = parsed->databases.at("orders");
@@ -46,6 +49,8 @@
   EXPECT_EQ(parsed->unreachable, message.unreachable);
   EXPECT_EQ(parsed->demand, message.demand);
   EXPECT_EQ(parsed->used_databases, message.used_databases);
+  message.grants_returned = true;
+  EXPECT_TRUE(ParseHeartbeat(ToJson(message))->grants_returned);
 }
 
 TEST(FleetMessagesTest, AnswersAndStateKeepTheirContent) {
--- a/src/relay_daemon/member_registration.h
+++ b/src/relay_daemon/member_registration.h
@@ -43,6 +43,8 @@
   /// Removes the registration. `done` runs when the store has answered, or at once if this process
   /// never registered.
   void Remove(const std::function<void()>& done);
+  /// Store revision of the registration; 0 before the first one.
+  std::uint64_t Revision() const { return this->revision; }
 
  private:
   void LookUp();
@@ -59,7 +61,7 @@
   const Clock& clock;
   Scheduler& scheduler;
   Logger& logger;
-  std::uint64_t revision = 0;  ///< Store revision of the registration; 0 before the first one.
+  std::uint64_t revision = 0;
   std::optional<TimePoint> registered_at;
   bool registering = false;
   bool stopped = false;
--- a/src/relay_daemon/simulated_fleet_test.h
+++ b/src/relay_daemon/simulated_fleet_test.h
@@ -31,6 +31,7 @@
 
   void Tick();
   HeartbeatMessage Heartbeat() const;
+  void ReturnGrants();
   void OnAnswer(const HeartbeatAnswer& answer, TimePoint sent);
   RevocationAnswer OnRevocation(const RevocationMessage& message);
   bool MayAcceptGrants() const;
@@ -326,11 +327,25 @@
       }
     };
     this->left = true;
+    this->grants.DropAll();
+    this->ReturnGrants();
     this->fleet.clock.RunAfter(milliseconds(400), end);
     this->registration->Remove(end);
   });
 }
 
+inline void Node::ReturnGrants() {
+  if (this->leader_number < 0 || this->leader_number == this->number) {
+    return;
+  }
+  HeartbeatMessage message;
+  message.member = this->self.member;
+  message.registration = this->registration->Revision();
+  message.grants_returned = true;
+  this->fleet.Deliver(this->number, this->leader_number,
+                      [message](Node& leading) { leading.leader->OnHeartbeat(message); });
+}
+
 inline bool Node::MayAcceptGrants() const {
   return this->mirror->Synchronized() ||
          this->fleet.clock.Now() - this->started > LeadershipOptions{}.lease;
@@ -340,6 +355,7 @@
   const TimePoint now = this->fleet.clock.Now();
   HeartbeatMessage message;
   message.member = this->self.member;
+  message.registration = this->registration->Revision();
   message.epoch = this->grants.Epoch();
   message.primaries_version = this->known_primaries.VersionFor(message.epoch);
   if (this->answer_stamp != 0 && this->answer_epoch == message.epoch) {
@@ -356,6 +372,9 @@
 }
 
 inline void Node::OnAnswer(const HeartbeatAnswer& answer, TimePoint sent) {
+  if (this->left) {
+    return;
+  }
   if (!answer.registered) {
     this->registration->RegisterAgain();
   }
