Grant only under a registration that no pending call can remove

Cause: a leader finds the holders of its predecessors' grants by their registrations, but a member could hold grants without one of its own: under the registration of an earlier start, after the leader had requested the removal of a silent member that came back, and for 10 s after a restore of the store that had lost the registration. If the leader changed then, the next one promoted another server while the member used the old one.

Change: a heartbeat proves the registration by its revision. The leader grants only if that is not older than the one it knows and not the one whose removal it has requested; otherwise the member writes a new registration first. The removal of a silent member is bound to the leader's key, so that it has no effect under the next leader.

Evidence: three tests fail without the change in the leader (ALateRemovalOfASilentMemberHidesNoGrantFromTheNextLeader, NothingIsGrantedUnderTheRegistrationOfAnEarlierStart, AMemberWhoseRegistrationWasLostIsNotGrantedUntilItRegistersAgain). Cost: a process that restarts and cannot reach the store gets no grant before it has registered; formerly it got one after 3 s.

--- a/src/include/sycamoredrum/primary_authority.h
+++ b/src/include/sycamoredrum/primary_authority.h
@@ -70,6 +70,8 @@
   std::string member;
   /// Revision of the registration of the member's process; 0 if it has not registered yet.
   std::uint64_t registration = 0;
+  /// The registration is in the store, and no pending call can remove it.
+  bool registered = false;
   std::uint64_t epoch = 0;  ///< Epoch of the latest leader that the member accepts.
   std::map<std::string, DatabaseReport> databases;
   std::set<std::string> unreachable;  ///< Backend servers that fail or do not answer the member.
@@ -248,8 +250,8 @@
   /// admits.
   void SetDatabases(const std::map<std::string, int>& connection_caps);
 
-  /// Handles a heartbeat and returns the answer, which has epoch 0 if this process does not lead or
-  /// does not know the member.
+  /// Handles a heartbeat and returns the answer, which has epoch 0 if this process does not lead,
+  /// does not know the member, or the member is not registered.
   GrantSet OnReport(const MemberReport& report);
   /// The process of `member` that registered with revision `registration` stops and uses no grant
   /// any more.
--- a/src/leader/primary_authority.cc
+++ b/src/leader/primary_authority.cc
@@ -217,6 +217,9 @@
       database.newest = state.newest;
     }
   }
+  if (!report.registered) {
+    return grants;
+  }
   grants.epoch = this->epoch;
   grants.connections = this->ConnectionsOf(report.member);
   for (const auto& [name, database] : this->databases) {
--- a/src/leader/primary_authority_test.cc
+++ b/src/leader/primary_authority_test.cc
@@ -85,6 +85,7 @@
       MemberReport report;
       report.member = "registered";
       report.registration = kRegistration;
+      report.registered = true;
       report.epoch = MakeRevision(kRestoredEra, 1);
       for (const auto& [database, record] : this->authority.OnReport(report).primaries) {
         this->granted.insert(record.server);
@@ -131,6 +132,7 @@
   this->RunUntil(seconds(8));
   MemberReport report;
   report.member = "registered";
+  report.registered = true;
   EXPECT_EQ(this->authority.OnReport(report).positions.count(kDatabase), 1U);
   report.used_databases.emplace();
   EXPECT_TRUE(this->authority.OnReport(report).positions.empty());
@@ -148,6 +150,7 @@
   for (int i = 0; i < kMembers; ++i) {
     MemberReport report;
     report.member = "m" + std::to_string(i);
+    report.registered = true;
     names.insert(report.member);
     this->authority.SetMembers(names);
     with_share += this->authority.OnReport(report).connections.empty() ? 0 : 1;
@@ -156,6 +159,7 @@
   this->clock.Advance(seconds(2));
   MemberReport report;
   report.member = "m0";
+  report.registered = true;
   EXPECT_FALSE(this->authority.OnReport(report).connections.empty());
 }
 
--- a/src/relay_daemon/fleet_leader.cc
+++ b/src/relay_daemon/fleet_leader.cc
@@ -58,6 +58,7 @@
     this->logger.Warning("leadership_lost", {{"reason", reason}});
     this->metrics.Set(Metric::kLeadership, {}, 0);
     this->last_leadership_began = this->authority.Active();
+    this->requested_removals.clear();
     this->authority.End();
   };
   result.is_predecessor = [this](const std::string& value) {
@@ -262,6 +263,10 @@
   this->member_revisions = revisions;
   for (const auto& [member, revision] : revisions) {
     this->lost_members.erase(member);
+    const auto removal = this->requested_removals.find(member);
+    if (removal != this->requested_removals.end() && revision > removal->second) {
+      this->requested_removals.erase(removal);
+    }
   }
 }
 
@@ -303,11 +308,25 @@
       continue;
     }
     this->logger.Info("member_forgotten", {{"member", member}});
-    // The write has no effect if the member has registered again; a failed call is repeated later.
+    this->requested_removals[member] = revision->second;
+    // The write has no effect if the member has registered again, or if another process leads,
+    // which may have granted the member again. A failed call is repeated later.
     this->platform.store.write(
         ConditionalWrite{absl::StrCat(kMembersPrefix, member), revision->second, std::nullopt, 0},
-        {}, [](PlatformStatus, std::uint64_t) {});
+        {{kLeaderKey, this->leadership.Epoch()}}, [](PlatformStatus, std::uint64_t) {});
+  }
+}
+
+// A leader learns of the holders of its predecessors' grants by their registrations. A member that
+// holds grants must therefore be registered until they end: in the revision that it wrote itself,
+// which only it removes, and not in one whose removal a leader has requested.
+bool FleetLeader::IsRegistered(const std::string& member, std::uint64_t registration) const {
+  const auto present = this->member_revisions.find(member);
+  if (present == this->member_revisions.end() || registration < present->second) {
+    return false;
   }
+  const auto removal = this->requested_removals.find(member);
+  return removal == this->requested_removals.end() || registration > removal->second;
 }
 
 // The message may arrive after the first heartbeats of the next start of the process.
@@ -333,6 +352,7 @@
   MemberReport report;
   report.member = message.member;
   report.registration = message.registration;
+  report.registered = this->IsRegistered(message.member, message.registration);
   report.epoch = message.epoch;
   report.unreachable = message.unreachable;
   report.demand = message.demand;
@@ -361,7 +381,7 @@
   }
   const GrantSet grants = this->authority.OnReport(report);
   answer.epoch = grants.epoch;
-  answer.registered = this->member_revisions.count(message.member) != 0;
+  answer.registered = report.registered;
   answer.store_in_reach = now - this->leadership.ConfirmedAt() < kStoreConfirmationMaxAge;
   answer.stamp = Stamp(now);
   answer.heartbeat_interval = std::clamp<Duration>(
--- a/src/relay_daemon/fleet_leader.h
+++ b/src/relay_daemon/fleet_leader.h
@@ -106,6 +106,7 @@
                    const std::function<void(PlatformStatus, std::uint64_t)>& done);
   void ResolveUnknownWrite(const std::string& key, const std::string& value,
                            const std::function<void(PlatformStatus, std::uint64_t)>& done);
+  bool IsRegistered(const std::string& member, std::uint64_t registration) const;
   void OnGrantsReturned(const HeartbeatMessage& message);
   void RemoveSilentMembers();
   void ReplaceRegistrations(const std::map<std::string, std::uint64_t>& revisions);
@@ -121,6 +122,8 @@
   Leadership leadership;
   PrimaryAuthority authority;
   std::map<std::string, std::uint64_t> member_revisions;  ///< Store revisions of the registrations.
+  /// Revisions of the registrations whose removal this leader has requested.
+  std::map<std::string, std::uint64_t> requested_removals;
   /// Members whose registration the store has lost, and when that was noticed.
   std::map<std::string, TimePoint> lost_members;
   PrimaryVersions versions;
--- a/src/relay_daemon/fleet_member.cc
+++ b/src/relay_daemon/fleet_member.cc
@@ -88,6 +88,8 @@
   MemberRegistrationHooks result;
   result.store_reachable = [this] { this->hooks.store_reachable(); };
   result.registered = [this] {
+    // The leader grants nothing to a member that is not registered.
+    this->heartbeat_wanted = true;
     if (!std::exchange(this->mirrors_started, true)) {
       this->leader_mirror.Start();
       this->members_mirror.Start();
--- a/src/relay_daemon/fleet_simulation_test.cc
+++ b/src/relay_daemon/fleet_simulation_test.cc
@@ -197,6 +197,83 @@
   }
 }
 
+// Guards against a promotion while a member may use the old primary: the removal of a silent
+// member's registration takes effect when the member is back, and the next leader does not know it.
+TEST(FleetSimulationTest, ALateRemovalOfASilentMemberHidesNoGrantFromTheNextLeader) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    SimulatedFleet fleet(seed, 4);
+    fleet.long_message_delays = false;
+    fleet.Advance(seconds(5));
+    const int leader = fleet.nodes[0]->leader_number;
+    const int silent = (leader + 1) % 4;
+    const auto cut_off = [&fleet, silent] {
+      for (int i = 0; i < 4; ++i) {
+        fleet.links_cut.insert({std::min(i, silent), std::max(i, silent)});
+      }
+    };
+    cut_off();
+    const auto removal_requested = [&fleet] {
+      return std::any_of(fleet.lines.begin(), fleet.lines.end(), [](const std::string& line) {
+        return line.find("member_forgotten") != std::string::npos;
+      });
+    };
+    fleet.store.late_writes = 1;
+    while (!removal_requested()) {
+      fleet.Advance(milliseconds(50));
+    }
+    fleet.links_cut.clear();
+    fleet.Advance(fleet.store.late_by + milliseconds(50));
+    cut_off();
+    fleet.store.disconnected.insert(silent);
+    fleet.store.Revoke(kLeaderKey);
+    fleet.database.At(0).down = true;
+    // SimulatedFleet::OnPromote checks that no member may use the old primary.
+    fleet.Advance(seconds(12));
+    EXPECT_EQ(fleet.promotions, 1) << "seed " << seed;
+    if (testing::Test::HasFailure()) {
+      fleet.PrintLog();
+      FAIL() << "seed " << seed;
+    }
+  }
+}
+
+// Guards against grants to a process whose registration is that of an earlier start, which a late
+// call of that start may still remove.
+TEST(FleetSimulationTest, NothingIsGrantedUnderTheRegistrationOfAnEarlierStart) {
+  SimulatedFleet fleet(7, 3);
+  fleet.Advance(seconds(5));
+  const int leader = fleet.nodes[0]->leader_number;
+  Node& member = *fleet.nodes[static_cast<std::size_t>((leader + 1) % 3)];
+  FleetLeader& leading = *fleet.nodes[static_cast<std::size_t>(leader)]->leader;
+  HeartbeatMessage message = member.Heartbeat();
+  EXPECT_TRUE(leading.OnHeartbeat(message).registered);
+  EXPECT_EQ(leading.OnHeartbeat(message).epoch, leading.Epoch());
+  message.registration = 0;
+  EXPECT_FALSE(leading.OnHeartbeat(message).registered);
+  EXPECT_EQ(leading.OnHeartbeat(message).epoch, 0U);
+}
+
+// Guards against grants that no later leader knows of: the restored store lacks the registration of
+// a member that cannot reach the store, and the leader goes on granting it.
+TEST(FleetSimulationTest, AMemberWhoseRegistrationWasLostIsNotGrantedUntilItRegistersAgain) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    SimulatedFleet fleet(seed, 5);
+    fleet.long_message_delays = false;
+    fleet.Advance(seconds(9));
+    const int lost = (fleet.nodes[0]->leader_number + 1) % 5;
+    const Node& member = *fleet.nodes[static_cast<std::size_t>(lost)];
+    FakeStore::Copy copy = fleet.store.Save();
+    copy.items.erase(kMembersPrefix + member.self.member);
+    fleet.store.disconnected.insert(lost);
+    fleet.store.Restore(copy);
+    fleet.Advance(seconds(8));
+    EXPECT_FALSE(member.grants.Current("db")) << "seed " << seed;
+    fleet.store.disconnected.clear();
+    fleet.Advance(seconds(4));
+    EXPECT_TRUE(member.grants.Current("db")) << "seed " << seed;
+  }
+}
+
 // Guards against the use of a replaced primary that has not noticed its replacement: it is promoted
 // again later, and still claims to be the primary before that has taken effect.
 TEST(FleetSimulationTest, AReplacedPrimaryLeadsOnlyAfterItsPromotion) {
