Revoke all grants before a promotion is repeated under a new leader

Cause: when a promotion is confirmed, the leader grants generation g and notes in the store that it serves. If the store refuses that note, the next leader takes the promotion as unfinished and revoked only the generations before g. Its repeated call fails as the server has crashed, and it promoted another one while the members held grants of g.

Change: the next leader revokes g like any other generation, stores the server under the next one, and repeats the promotion then. A promotion of another server follows only after all grants have ended.

Evidence: ResumedPromotionEndsTheGrantsOfItsOwnGeneration fails without the change. Ruled out: relying on the note alone; a leader may end before it is stored.

--- a/src/include/sycamoredrum/primary_authority.h
+++ b/src/include/sycamoredrum/primary_authority.h
@@ -152,7 +152,7 @@
 /// A replacement takes these steps: all grants for the old primary end (revocations acknowledged,
 /// or grants expired); the successor is chosen by the end of its log; the record that names it is
 /// stored; the platform is requested to promote it; it confirms that it leads. A new leader that
-/// finds a record that is not serving repeats the last two steps.
+/// finds a record that is not serving repeats these steps for the server that it names.
 ///
 /// The store may return from an older copy and lose records and registrations. A record of an
 /// earlier era of the store is therefore not trusted: a new leader asks the servers which one
@@ -286,7 +286,8 @@
     bool planned = false;  ///< The old primary still runs; no entry of its log may be lost.
     /// `target` leads already and serves, without a promotion, as soon as its record is stored.
     bool target_leads = false;
-    /// The record of an earlier leader is not serving; only the promotion is left to do.
+    /// The record of an earlier leader is not serving; once all grants have ended, the promotion of
+    /// its server is repeated.
     bool resume_promotion = false;
     /// The store may have lost the last record; only the servers can tell which of them leads.
     bool record_lost = false;
--- a/src/leader/primary_authority.cc
+++ b/src/leader/primary_authority.cc
@@ -74,7 +74,9 @@
       this->Enter(name, database, Phase::kServing);
     } else {
       // The former leader may have called the platform already. The call is repeated for the same
-      // server once no earlier leader can still send one.
+      // server once no earlier leader can still send one. The promotion may also have been
+      // confirmed and the generation granted, so that it is revoked, and the server gets the next
+      // one.
       database.target = database.record.server;
       database.resume_promotion = true;
       this->Enter(name, database, Phase::kRevoke);
--- a/src/leader/primary_authority_test.cc
+++ b/src/leader/primary_authority_test.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "sycamoredrum/manual_clock.h"
+#include "sycamoredrum/primary_grants.h"
 
 namespace sycamoredrum {
 namespace {
@@ -47,8 +48,12 @@
 
   PrimaryAuthorityHooks MakeHooks() {
     PrimaryAuthorityHooks hooks;
-    hooks.revoke = [this](const std::string&, std::uint64_t, const std::string&, std::uint64_t,
-                          bool, const RevocationCallback& done) {
+    hooks.revoke = [this](const std::string&, std::uint64_t epoch, const std::string& database,
+                          std::uint64_t generation, bool, const RevocationCallback& done) {
+      if (this->revocations_acknowledged) {
+        this->grants.Revoke(epoch, database, generation);
+        this->grants.FinishRevocation(database);
+      }
       done(this->revocations_acknowledged, std::nullopt);
     };
     hooks.probe = [this](const BackendServerRecord& server,
@@ -61,6 +66,13 @@
     };
     hooks.promote = [this](const std::string&, const std::string& server, std::uint64_t,
                            const std::function<void(PromoteOutcome)>& done) {
+      if (this->not_running.count(server) != 0) {
+        done(PromoteOutcome::kNotRunning);
+        return;
+      }
+      const std::optional<PrimaryGrant> grant = this->grants.Current(kDatabase);
+      EXPECT_FALSE(grant && grant->server != server)
+          << "the member may use " << grant->server << " while " << server << " is promoted";
       this->promoted_at[server] = this->clock.Now();
       this->SetRole(server, Role::kPrimary, ++this->term);
       done(PromoteOutcome::kAccepted);
@@ -100,6 +112,8 @@
   std::uint64_t writes = 1;
   std::uint64_t term = 5;  ///< Of the last promotion.
   bool revocations_acknowledged = true;
+  std::set<std::string> not_running;  ///< Servers that the platform refuses to promote.
+  PrimaryGrants grants{this->clock};  ///< Of the member.
   std::map<std::string, TimePoint> promoted_at;
   std::set<std::string> granted;  ///< Servers that the member was granted as the primary.
   PrimaryAuthority authority;
@@ -195,6 +209,29 @@
   }
 }
 
+// Guards against commits that are lost after a change of the leader: the former one had granted the
+// promoted server, but the store refused to note that it serves. The next leader repeats the
+// promotion, which fails as the server has crashed, and promotes another one.
+TEST_F(PrimaryAuthorityTest, ResumedPromotionEndsTheGrantsOfItsOwnGeneration) {
+  const std::uint64_t generation = (kRestoredEra << PrimaryAuthority::kGenerationBits) + 3;
+  const std::uint64_t next_epoch = MakeRevision(kRestoredEra, 50);
+  this->clock.Advance(seconds(20));
+  this->grants.Renew(kDatabase, PrimaryGrant{"b", generation, next_epoch - 1,
+                                             this->clock.Now() + PrimaryAuthority::kGrantValidity});
+  this->not_running = {"b"};
+  FleetState state;
+  state.members = {"registered"};
+  state.era_observed_at = this->restored_at;
+  state.records[kDatabase] = PrimaryRecord{"b", generation, false, 6, kRestoredEra, true};
+  state.revisions[kDatabase] = MakeRevision(kRestoredEra, 40);
+  this->authority.Begin(next_epoch, state);
+  for (int i = 0; i < 100 && this->promoted_at.empty(); ++i) {
+    this->authority.Tick();
+    this->clock.Advance(kTick);
+  }
+  EXPECT_EQ(this->promoted_at.count("a"), 1U);
+}
+
 TEST_F(PrimaryAuthorityTest, PromotionDoesNotWaitForAMemberThatGaveItsGrantsBack) {
   this->RunUntil(seconds(20));
   ASSERT_EQ(this->granted, std::set<std::string>{"a"});
--- a/src/leader/primary_replacement.cc
+++ b/src/leader/primary_replacement.cc
@@ -51,8 +51,7 @@
 // Called repeatedly until every member has acknowledged or its grants have expired; a member that
 // restarts acknowledges a later request.
 void PrimaryAuthority::SendRevocations(const std::string& name, Database& database) {
-  const std::uint64_t generation = database.resume_promotion ? database.record.generation - 1
-                                                             : this->NextGeneration(database) - 1;
+  const std::uint64_t generation = this->NextGeneration(database) - 1;
   database.next_call = this->clock.Now() + 2 * kProbeInterval;
   const std::set<std::string> targets = database.awaiting;
   for (const std::string& member : targets) {
@@ -99,9 +98,9 @@
     }
     return;
   }
-  if (database.resume_promotion) {
-    this->Enter(name, database, Phase::kPromote);
-    this->Promote(name, database);
+  if (std::exchange(database.resume_promotion, false)) {
+    this->Enter(name, database, Phase::kRecord);
+    this->StoreRecord(name, database);
     return;
   }
   this->Enter(name, database, Phase::kSelect);
