Wait for all holders when a given-up hand-over ends in a crash

Cause: a hand-over is given up because a member has not acknowledged in time. The same server is promoted again under the next generation; if the platform answers that it does not run, the leader went straight to the selection of another one, although that member held its grant.

Change: the leader goes back to the revocations, with the members that have not acknowledged; for a replacement that had ended them, none is left.

Evidence: CrashAfterAHandOverThatWasGivenUpWaitsForTheMemberThatDidNotAnswer fails without the change.

--- a/src/leader/primary_authority_test.cc
+++ b/src/leader/primary_authority_test.cc
@@ -101,6 +101,7 @@
       report.epoch = MakeRevision(kRestoredEra, 1);
       for (const auto& [database, record] : this->authority.OnReport(report).primaries) {
         this->granted.insert(record.server);
+        this->granted_generation = record.generation;
       }
       this->clock.Advance(kTick);
     }
@@ -115,7 +116,8 @@
   std::set<std::string> not_running;  ///< Servers that the platform refuses to promote.
   PrimaryGrants grants{this->clock};  ///< Of the member.
   std::map<std::string, TimePoint> promoted_at;
-  std::set<std::string> granted;  ///< Servers that the member was granted as the primary.
+  std::set<std::string> granted;         ///< Servers that the member was granted as the primary.
+  std::uint64_t granted_generation = 0;  ///< Of the last grant.
   PrimaryAuthority authority;
   const TimePoint restored_at;
 };
@@ -232,6 +234,30 @@
   EXPECT_EQ(this->promoted_at.count("a"), 1U);
 }
 
+// Guards against commits that are lost after a hand-over that was given up because a member did not
+// answer: the primary crashes before it has resumed, and another server is promoted while that
+// member may use it.
+TEST_F(PrimaryAuthorityTest, CrashAfterAHandOverThatWasGivenUpWaitsForTheMemberThatDidNotAnswer) {
+  this->RunUntil(seconds(20));
+  ASSERT_EQ(this->granted, std::set<std::string>{"a"});
+  const std::uint64_t generation = this->granted_generation;
+  this->grants.Renew(kDatabase,
+                     PrimaryGrant{"a", generation, MakeRevision(kRestoredEra, 1),
+                                  this->clock.Now() - kTick + PrimaryAuthority::kGrantValidity});
+  this->revocations_acknowledged = false;
+  this->not_running = {"a"};
+  BackendServerRecord draining;
+  draining.id = "a";
+  draining.database = kDatabase;
+  draining.state = BackendServerState::kDraining;
+  this->authority.PutServer(draining);
+  for (int i = 0; i < 200 && this->promoted_at.empty(); ++i) {
+    this->authority.Tick();
+    this->clock.Advance(kTick);
+  }
+  EXPECT_EQ(this->promoted_at.count("b"), 1U);
+}
+
 TEST_F(PrimaryAuthorityTest, PromotionDoesNotWaitForAMemberThatGaveItsGrantsBack) {
   this->RunUntil(seconds(20));
   ASSERT_EQ(this->granted, std::set<std::string>{"a"});
--- a/src/leader/primary_replacement.cc
+++ b/src/leader/primary_replacement.cc
@@ -358,11 +358,14 @@
       this->Confirm(name, database);
       return;
     case PromoteOutcome::kNotRunning:
+      // After a hand-over that was given up, some members may still use this server.
       database.failed_targets.insert(database.target);
       database.candidates.clear();
       database.planned = false;
-      this->Enter(name, database, Phase::kSelect);
+      this->Enter(name, database, Phase::kRevoke);
+      this->SendRevocations(name, database);
       this->ProbeCandidates(name, database);
+      this->CheckRevocations(name, database);
       return;
     case PromoteOutcome::kNotDone:
     case PromoteOutcome::kUnknown:
