Do not trust a primary after a restore while a server of its database is down

Cause: if the store returns without the record of the primary, the leader asks the servers. A server at whose address nothing listens counted as an answer, although it may be the primary of the latest term, which has crashed and comes back with its log; an earlier primary that had not noticed its replacement was then granted.

Change: such a primary is taken only if all servers run.

Evidence: PrimaryOfAnEarlierTermIsNotGrantedWhileAServerIsDownAfterARestore fails without the change.

--- a/src/leader/primary_authority.cc
+++ b/src/leader/primary_authority.cc
@@ -374,8 +374,10 @@
   const std::string* best = nullptr;
   std::uint64_t term = 0;
   bool all_answered = true;
+  bool all_run = true;
   for (const auto& [server, probe] : database.candidates) {
     all_answered = all_answered && probe.outcome != ProbeOutcome::kNoAnswer;
+    all_run = all_run && probe.outcome != ProbeOutcome::kNotListening;
     if (probe.outcome == ProbeOutcome::kAnswered && probe.role == Role::kPrimary &&
         probe.term >= term) {
       best = &server;
@@ -384,8 +386,9 @@
   }
   const TimePoint began = std::max(database.phase_started, this->lost_promotions_end);
   const bool overdue = this->clock.Now() - began > kDiscoveryLimit;
-  // If a record may be lost, a server of a later term may be among those that did not answer.
-  const bool certain = !database.record_lost || all_answered;
+  // If a record may be lost, a server of a later term may be among those that did not answer, or
+  // that have crashed and come back with their logs.
+  const bool certain = !database.record_lost || (all_answered && all_run);
   if (best != nullptr && term >= database.known_term && certain) {
     // Nothing is granted before the record is stored: a later leader must find the generation that
     // it has to revoke.
--- a/src/leader/primary_authority_test.cc
+++ b/src/leader/primary_authority_test.cc
@@ -142,6 +142,21 @@
   EXPECT_EQ(this->granted, std::set<std::string>{"b"});
 }
 
+// Guards against reads at a replaced primary that has not noticed its replacement: the restored
+// store lacks the record of its successor, which has crashed and comes back with its log.
+TEST_F(PrimaryAuthorityTest, PrimaryOfAnEarlierTermIsNotGrantedWhileAServerIsDownAfterARestore) {
+  BackendServerRecord record;
+  record.id = "c";
+  record.database = kDatabase;
+  this->authority.PutServer(record);
+  this->servers["a"].received = LogPosition{5, 10};
+  this->servers["b"].received = LogPosition{6, 11};
+  this->servers["c"].outcome = ProbeOutcome::kNotListening;
+  this->RunUntil(kLease + PrimaryAuthority::kPromotionCallLimit + seconds(6));
+  EXPECT_EQ(this->granted, std::set<std::string>{"b"});
+  EXPECT_EQ(this->promoted_at.count("b"), 1U);
+}
+
 // Guards against answers that grow with the number of databases: a leader with 300 members and 300
 // databases sent 100,000 positions a second.
 TEST_F(PrimaryAuthorityTest, OnlyPositionsOfUsedDatabasesAreSent) {
