Repeat the note that a promoted server serves

Cause: the leader noted once in the store that a promoted server serves. If the store refused that (503) or the answer was lost, the record said the contrary for as long as the generation lasted, and each later leader revoked all grants and repeated the promotion: a pause of the database for each change of the leader.

Change: the note is repeated once a second until the store has it.

Evidence: RefusedNoteThatTheServerServesIsRepeated fails without the repetition. Safety does not depend on it since the revocation of the generation itself.

--- a/src/include/sycamoredrum/primary_authority.h
+++ b/src/include/sycamoredrum/primary_authority.h
@@ -226,7 +226,7 @@
   /// A promotion call may take effect this long after its leader stopped leading; the timeout of
   /// the call.
   static constexpr Duration kPromotionCallLimit = std::chrono::milliseconds(1000);
-  /// Interval between attempts to store a record in the present era, or as settled.
+  /// Interval between attempts to store a record as serving, in the present era, or as settled.
   static constexpr Duration kRecordRefreshInterval = std::chrono::seconds(1);
   /// Bits of a generation that count within one era of the store. The first generation of an era
   /// exceeds all of earlier eras, including those of lost records.
@@ -283,7 +283,8 @@
     Phase phase = Phase::kDiscover;
     PrimaryRecord record;
     std::uint64_t record_revision = 0;
-    bool planned = false;  ///< The old primary still runs; no entry of its log may be lost.
+    bool serving_stored = false;  ///< The record in the store says that the server serves.
+    bool planned = false;         ///< The old primary still runs; no entry of its log may be lost.
     /// `target` leads already and serves, without a promotion, as soon as its record is stored.
     bool target_leads = false;
     /// The record of an earlier leader is not serving; once all grants have ended, the promotion of
@@ -358,7 +359,7 @@
   void StoreRecord(const std::string& name, Database& database);
   void OnRecordStored(const std::string& name, Database& database, const PrimaryRecord& record,
                       PlatformStatus status, std::uint64_t revision);
-  void StoreServing(const std::string& name, const Database& database);
+  void StoreServing(const std::string& name, Database& database);
   void RefreshRecord(const std::string& name, Database& database);
   std::uint64_t NextGeneration(const Database& database) const;
   bool Settled() const { return this->clock.Now() >= this->settled_from; }
--- a/src/leader/primary_authority.cc
+++ b/src/leader/primary_authority.cc
@@ -56,12 +56,14 @@
     database.record_revision = state.revisions.at(name);
     if (record.era == era) {
       database.record = record;
+      database.serving_stored = record.serving;
     } else {
       database.record_lost = true;
     }
   }
   for (const auto& [name, record] : own_records) {
     this->databases[name].record = record;
+    this->databases[name].serving_stored = false;
     this->databases[name].known_term = record.term;
     this->databases[name].record_lost = false;
   }
--- a/src/leader/primary_authority_test.cc
+++ b/src/leader/primary_authority_test.cc
@@ -60,8 +60,13 @@
                          const std::function<void(const BackendProbe&)>& done) {
       done(this->servers[server.id]);
     };
-    hooks.store_record = [this](const std::string&, const PrimaryRecord&, std::uint64_t,
+    hooks.store_record = [this](const std::string&, const PrimaryRecord& record, std::uint64_t,
                                 const std::function<void(PlatformStatus, std::uint64_t)>& done) {
+      if (this->store_refuses && this->store_refuses(record)) {
+        done(PlatformStatus::kUnavailable, 0);
+        return;
+      }
+      this->stored = record;
       done(PlatformStatus::kOk, MakeRevision(kRestoredEra, ++this->writes));
     };
     hooks.promote = [this](const std::string&, const std::string& server, std::uint64_t,
@@ -111,6 +116,8 @@
   Logger logger;
   std::map<std::string, BackendProbe> servers;
   std::uint64_t writes = 1;
+  PrimaryRecord stored;  ///< Last record in the store.
+  std::function<bool(const PrimaryRecord&)> store_refuses;
   std::uint64_t term = 5;  ///< Of the last promotion.
   bool revocations_acknowledged = true;
   std::set<std::string> not_running;  ///< Servers that the platform refuses to promote.
@@ -249,6 +256,22 @@
   EXPECT_EQ(this->promoted_at.count("a"), 1U);
 }
 
+// Guards against a pause of the database at each later change of the leader: the store refuses once
+// to note that the promoted server serves, and each new leader repeats the promotion.
+TEST_F(PrimaryAuthorityTest, RefusedNoteThatTheServerServesIsRepeated) {
+  this->RunUntil(seconds(20));
+  this->servers["a"].outcome = ProbeOutcome::kNotListening;
+  const TimePoint refused_until = this->clock.Now() + seconds(3);
+  this->store_refuses = [this, refused_until](const PrimaryRecord& record) {
+    return record.serving && this->clock.Now() < refused_until;
+  };
+  this->RunUntil(seconds(22));
+  ASSERT_EQ(this->stored.server, "b");
+  EXPECT_FALSE(this->stored.serving);
+  this->RunUntil(seconds(20) + seconds(3) + PrimaryAuthority::kRecordRefreshInterval + 2 * kTick);
+  EXPECT_TRUE(this->stored.serving);
+}
+
 // Guards against commits that are lost after a hand-over that was given up because a member did not
 // answer: the primary crashes before it has resumed, and another server is promoted while that
 // member may use it.
--- a/src/leader/primary_replacement.cc
+++ b/src/leader/primary_replacement.cc
@@ -278,6 +278,7 @@
   }
   database.record = record;
   database.record_revision = revision;
+  database.serving_stored = record.serving;
   database.record_lost = false;
   database.newest.reset();
   if (std::exchange(database.target_leads, false)) {
@@ -289,9 +290,10 @@
   this->Promote(name, database);
 }
 
-// An optimization that nothing depends on: a later leader that finds the record serving does not
-// repeat the promotion, and one that finds it in the present era does not ask the servers.
-void PrimaryAuthority::StoreServing(const std::string& name, const Database& database) {
+// Saves a later leader a pause of the database: if it finds the record serving, it does not repeat
+// the promotion, and if it finds it in the present era, it does not ask the servers.
+void PrimaryAuthority::StoreServing(const std::string& name, Database& database) {
+  database.next_refresh = this->clock.Now() + kRecordRefreshInterval;
   PrimaryRecord record = database.record;
   record.era = EraOf(this->epoch);
   record.settled = this->Settled();
@@ -307,6 +309,7 @@
             found != this->databases.end() && found->second.record.generation == record.generation;
         if (current && status == PlatformStatus::kOk) {
           found->second.record_revision = revision;
+          found->second.serving_stored = true;
           found->second.record.era = record.era;
           found->second.record.settled = record.settled;
         } else if (current && status == PlatformStatus::kConflict && revision > 0) {
@@ -316,11 +319,9 @@
 }
 
 void PrimaryAuthority::RefreshRecord(const std::string& name, Database& database) {
-  const TimePoint now = this->clock.Now();
-  const bool current =
-      database.record.era == EraOf(this->epoch) && database.record.settled == this->Settled();
-  if (!current && now >= database.next_refresh) {
-    database.next_refresh = now + kRecordRefreshInterval;
+  const bool current = database.serving_stored && database.record.era == EraOf(this->epoch) &&
+                       database.record.settled == this->Settled();
+  if (!current && this->clock.Now() >= database.next_refresh) {
     this->StoreServing(name, database);
   }
 }
