--- a/src/core/types.cc
+++ b/src/core/types.cc
@@ -1,11 +1,25 @@
 #include "sycamoredrum/types.h"
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <arpa/inet.h>
 
 #include <algorithm>
 
 namespace sycamoredrum {
+namespace {
+
+bool IsIpAddress(const std::string& text) {
+  in6_addr address{};
+  if (text.find('\0') != std::string::npos) {
+    return false;
+  }
+  return inet_pton(AF_INET, text.c_str(), &address) == 1 ||
+         inet_pton(AF_INET6, text.c_str(), &address) == 1;
+}
+
+}  // namespace
 
 std::optional<Endpoint> Endpoint::Parse(std::string_view text) {
   const std::size_t colon = text.rfind(':');
@@ -20,8 +34,9 @@
   }
   unsigned port = 0;
   const std::string_view port_text = text.substr(colon + 1);
-  if (host.empty() || !absl::SimpleAtoi(std::string(port_text), &port) || port == 0 ||
-      port > 65535) {
+  const bool digits = std::all_of(port_text.begin(), port_text.end(), absl::ascii_isdigit);
+  if (!IsIpAddress(std::string(host)) || !digits ||
+      !absl::SimpleAtoi(std::string(port_text), &port) || port == 0 || port > 65535) {
     return std::nullopt;
   }
   return Endpoint{std::string(host), static_cast<std::uint16_t>(port)};
--- a/src/core/types_test.cc
+++ b/src/core/types_test.cc
@@ -11,9 +11,12 @@
     const char* text;
     bool valid;
   };
-  const Case cases[] = {{"127.0.0.1:80", true}, {"[::1]:80", true}, {"127.0.0.1", false},
-                        {"127.0.0.1:0", false}, {":80", false},     {"::1:80", false},
-                        {"a:65536", false},     {"a:x", false}};
+  const Case cases[] = {
+      {"127.0.0.1:80", true},     {"[::1]:80", true},       {"127.0.0.1", false},
+      {"127.0.0.1:0", false},     {":80", false},           {"::1:80", false},
+      {"127.0.0.1:65536", false}, {"127.0.0.1:x", false},   {"a:80", false},
+      {"127.0.0.256:80", false},  {"127.0.0.1:+80", false}, {"127.0.0.1: 80", false},
+      {"[::1:80", false},         {"[]:80", false}};
   for (const Case& c : cases) {
     const auto endpoint = Endpoint::Parse(c.text);
     EXPECT_EQ(endpoint.has_value(), c.valid) << c.text;
--- a/src/include/sycamoredrum/types.h
+++ b/src/include/sycamoredrum/types.h
@@ -14,8 +14,8 @@
   std::string host;  ///< IPv4 or IPv6 address, without brackets.
   std::uint16_t port = 0;
 
-  /// Parses "IP:PORT" or "[IPv6]:PORT". Returns nothing if the text is not of that form or the
-  /// port is zero.
+  /// Parses "IP:PORT" or "[IPv6]:PORT". Returns nothing if the text is not of that form, the host
+  /// is not an IP address, or the port is zero.
   static std::optional<Endpoint> Parse(std::string_view text);
 
   /// "IP:PORT", or "[IPv6]:PORT" for an IPv6 address.
