Stop using a server whose record has become unreadable

Cause: a record that another writer replaced by something unreadable was logged, but the server of the former record stayed in use; a process that started later did not use it.

Change: such a record counts as removed. As after a removal, the server stays for 2.5 s, in which it usually writes its record again.

Evidence: RelayTest.ServerWhoseRecordBecameUnreadableIsNoLongerUsed fails with the former program. OddServerRecordsOfAnotherWriterAreNotUsed (deep nesting, numbers too large, ports out of range) passes with the former program too.

--- a/src/relay_daemon/relay_daemon.cc
+++ b/src/relay_daemon/relay_daemon.cc
@@ -247,6 +247,7 @@
     } else {
       this->logger.Warning("server_record_unreadable",
                            {{"key", event.item.key}, {"reason", reason}});
+      this->servers.Remove(id);
     }
   };
   hooks.synchronized = [] {};
--- a/testsuite/relay/relay_test.cc
+++ b/testsuite/relay/relay_test.cc
@@ -221,6 +221,47 @@
   EXPECT_EQ(this->platform.CommitsOf("after"), 1);
 }
 
+// Guards against processes that end, or no longer follow the servers, because of one odd entry of
+// another writer.
+TEST_F(RelayTest, OddServerRecordsOfAnotherWriterAreNotUsed) {
+  const std::string deep = std::string(100'000, '[') + std::string(100'000, ']');
+  this->platform.WriteKey("servers/odd-1", deep);
+  this->platform.WriteKey("servers/odd-2", "{\"service\":" + deep + "}");
+  this->platform.WriteKey("servers/odd-3", "\xff\xfe");
+  for (const char* addr : {"10.0.0.1:65536", "10.0.0.1:1e400"}) {
+    this->platform.WriteKey(
+        std::string("servers/odd") + addr,
+        std::string(R"({"service":"db","zone":"dc1","version":"v1","slots":3,)") +
+            R"("state":"ready","coldLeftMs":0,"dbRole":"primary","seq":1e999,)" + R"("addr":")" +
+            addr + "\"}");
+  }
+  // This entry named a server that could be promoted.
+  this->platform.WriteKey("servers/i-1", "null");
+  this->Restart(1);
+  ASSERT_TRUE(this->WriteEventually(1, "a", "before"));
+  this->platform.KillBackendServer(0);
+  EXPECT_TRUE(this->WriteEventually(0, "a", "after"));
+  EXPECT_EQ(this->platform.Primary(), 2);
+  EXPECT_TRUE(this->WriteEventually(1, "a", "later"));
+}
+
+// Guards against the use of a server that its record no longer names.
+TEST_F(RelayTest, ServerWhoseRecordBecameUnreadableIsNoLongerUsed) {
+  ASSERT_TRUE(this->WriteEventually(0, "a", "before"));
+  this->platform.WriteKey("servers/i-0", "null");
+  EXPECT_TRUE(Eventually([this] { return this->platform.Primary() != 0; }));
+  EXPECT_TRUE(this->WriteEventually(1, "a", "after"));
+}
+
+// Guards against a fleet without a leader: the leader's key is overwritten, and no process takes
+// it.
+TEST_F(RelayTest, OddLeaderKeyOfAnotherWriterIsReplaced) {
+  ASSERT_TRUE(this->WriteEventually(0, "a", "before"));
+  this->platform.WriteKey("sycamoredrum/leader", "[[[");
+  this->platform.KillBackendServer(0);
+  EXPECT_TRUE(this->WriteEventually(1, "a", "after"));
+}
+
 TEST_F(RelayTest, DrainingPrimaryIsHandedOver) {
   ASSERT_TRUE(this->WriteEventually(0, "a", "before"));
   this->platform.DrainBackendServer(0);
--- a/testsuite/relay/standin_users_platform.cc
+++ b/testsuite/relay/standin_users_platform.cc
@@ -519,6 +519,13 @@
   });
 }
 
+void StandinUsersPlatform::WriteKey(const std::string& key, const std::string& value) {
+  this->state->RunOnLoop<bool>([this, key, value] {
+    this->state->Put(key, absl::Base64Escape(value), 0);
+    return true;
+  });
+}
+
 bool StandinUsersPlatform::HasKey(const std::string& key) {
   return this->state->RunOnLoop<bool>(
       [this, key] { return this->state->store.items.count(key) != 0; });
--- a/testsuite/relay/standin_users_platform.h
+++ b/testsuite/relay/standin_users_platform.h
@@ -46,6 +46,8 @@
   /// the era that the store reports rises by one. Running backend servers register again.
   void RestoreStore();
 
+  /// Writes a key of the store, as another writer would.
+  void WriteKey(const std::string& key, const std::string& value);
   /// True if the store holds the key.
   bool HasKey(const std::string& key);
   /// Number of the backend server that is primary.
