Elect a leader over an unreadable leader's key

Callers would have seen: no writes from the moment at which another writer overwrote the leader's key, until an operator removed it. The leader steps down then, and every process took the key for that of another leader.

Change: a value that names no process leaves the key open to candidates. The condition on its revision still lets only one of them win, and a new leader already assumes that its predecessor may act for one lease time more.

--- a/src/include/sycamoredrum/leadership.h
+++ b/src/include/sycamoredrum/leadership.h
@@ -35,6 +35,9 @@
   /// Returns true if `value`, read from the leader's key, was written by an earlier start of this
   /// process. That start has certainly ended.
   std::function<bool(const std::string& value)> is_predecessor;
+  /// Returns false if `value`, read from the leader's key, names no process. Another writer left it
+  /// there, and any candidate may replace it.
+  std::function<bool(const std::string& value)> names_process;
 };
 
 /// Leader election by a leased key in the store. Only the fleet's leader may change primaries.
--- a/src/leader/leadership.cc
+++ b/src/leader/leadership.cc
@@ -63,7 +63,8 @@
 // True unless another process holds the key.
 bool Leadership::KeyAvailable() const {
   return !this->key || this->key->value == this->options.value ||
-         this->hooks.is_predecessor(this->key->value);
+         this->hooks.is_predecessor(this->key->value) ||
+         !this->hooks.names_process(this->key->value);
 }
 
 void Leadership::EnterElection() {
--- a/src/leader/leadership_test.cc
+++ b/src/leader/leadership_test.cc
@@ -24,11 +24,13 @@
         name("m" + std::to_string(number)),
         leadership(
             store, MakeOptions(),
-            LeadershipHooks{[this](std::uint64_t epoch) { this->epochs.push_back(epoch); },
-                            [this](const std::string& reason) { this->losses.push_back(reason); },
-                            [this](const std::string& value) {
-                              return value.compare(0, this->name.size() + 1, this->name + "/") == 0;
-                            }},
+            LeadershipHooks{
+                [this](std::uint64_t epoch) { this->epochs.push_back(epoch); },
+                [this](const std::string& reason) { this->losses.push_back(reason); },
+                [this](const std::string& value) {
+                  return value.compare(0, this->name.size() + 1, this->name + "/") == 0;
+                },
+                [](const std::string& value) { return value.find('/') != std::string::npos; }},
             clock, clock, [this] { return this->random += 7919; }),
         mirror(store, StoreMirrorOptions{kKey},
                StoreMirrorHooks{[this](const StoreEvent& event) {
--- a/src/relay_daemon/fleet_leader.cc
+++ b/src/relay_daemon/fleet_leader.cc
@@ -65,6 +65,9 @@
     const std::optional<MemberRecord> record = ParseMemberRecord(value);
     return record && record->member == this->self.member;
   };
+  result.names_process = [](const std::string& value) {
+    return ParseMemberRecord(value).has_value();
+  };
   return result;
 }
 
