Keep track of the grants if the record of a primary is unreadable

Cause: another writer can replace the record of a primary. The next leader then knew no generation, began again at 1, and revoked generation 0; the members acknowledged that and kept their grants, and no member accepted the new, lower generations afterwards. A record with a negative, fractional or huge generation was taken as it converted.

Change: an unreadable record counts as lost, so that the servers are asked once no former promotion can take effect; generations continue above those that members report; a member does not acknowledge a revocation that leaves it a usable grant, so that the leader waits for its end; an expired grant no longer blocks a lower generation. Records are checked before conversion, and registrations need a valid address. RandomFaults overwrites documents.

Evidence: AnUnreadableRecordDoesNotHideTheGrants fails without the change (no promotion and no grants for 20 s).

--- a/src/include/sycamoredrum/primary_authority.h
+++ b/src/include/sycamoredrum/primary_authority.h
@@ -47,6 +47,8 @@
 struct FleetState {
   std::map<std::string, PrimaryRecord> records;    ///< In the store, by database.
   std::map<std::string, std::uint64_t> revisions;  ///< Store revisions of the records.
+  /// Store revisions of records that cannot be read, by database. Another writer has replaced them.
+  std::map<std::string, std::uint64_t> unreadable;
   /// All that registered and did not leave, including those whose registration the store has lost.
   std::set<std::string> members;
   TimePoint era_observed_at;  ///< When this process first saw the present era of the store.
@@ -295,6 +297,9 @@
     /// Latest term in the record or in a report of a member or server. A server that claims to be
     /// the primary in an earlier term has not noticed its replacement.
     std::uint64_t known_term = 0;
+    /// Latest generation in a report of a member; exceeds that of the record if the record was
+    /// lost.
+    std::uint64_t known_generation = 0;
     TimePoint phase_started;
     TimePoint last_answer;  ///< When the primary last answered a member or a probe.
     TimePoint last_probe;
--- a/src/include/sycamoredrum/primary_grants.h
+++ b/src/include/sycamoredrum/primary_grants.h
@@ -39,13 +39,13 @@
   bool Adopt(std::uint64_t new_epoch);
 
   /// Stores or extends a grant. Ignores a grant of an earlier epoch, of a revoked generation, or of
-  /// an earlier generation than the grant that is held.
+  /// an earlier generation than a grant that may still be used.
   void Renew(const std::string& database, const PrimaryGrant& grant);
 
   /// Begins the revocation of generations up to `generation` of `database`: grants of these
   /// generations are rejected from now on, and no statement may be started under the one that is
   /// held. Statements in flight may still end until FinishRevocation. Returns false if a later
-  /// epoch than `from_epoch` is already known.
+  /// epoch than `from_epoch` is already known, or a grant of a later generation may be used.
   bool Revoke(std::uint64_t from_epoch, const std::string& database, std::uint64_t generation);
 
   /// Drops the grant of `database` if it is revoked. To be called before the revocation is
--- a/src/leader/primary_authority.cc
+++ b/src/leader/primary_authority.cc
@@ -61,6 +61,14 @@
       database.record_lost = true;
     }
   }
+  for (const auto& [name, revision] : state.unreadable) {
+    Database& database = this->databases[name];
+    database.record_lost = true;
+    database.record_revision = revision;
+    // A former leader may have requested the promotion of the server that the record named.
+    this->lost_promotions_end =
+        std::max(this->lost_promotions_end, now + this->predecessor_lease + kPromotionCallLimit);
+  }
   for (const auto& [name, record] : own_records) {
     this->databases[name].record = record;
     this->databases[name].serving_stored = false;
@@ -70,7 +78,7 @@
   this->SetDatabases(this->connection_caps);
   for (auto& [name, database] : this->databases) {
     if (database.record.server.empty()) {
-      database.record_lost = era != 0;
+      database.record_lost = database.record_lost || era != 0;
       this->Enter(name, database, Phase::kDiscover);
     } else if (database.record.serving) {
       this->Enter(name, database, Phase::kServing);
@@ -202,8 +210,11 @@
     }
     Database& database = known->second;
     database.known_term = std::max(database.known_term, state.known_term);
+    database.known_generation =
+        std::max({database.known_generation, state.generation, state.revoked_generation});
     if (database.phase == Phase::kServing &&
-        state.revoked_generation >= database.record.generation) {
+        (state.revoked_generation >= database.record.generation ||
+         state.generation > database.record.generation)) {
       this->RenewGeneration(name, database);
     }
     if (state.generation != database.record.generation) {
--- a/src/leader/primary_replacement.cc
+++ b/src/leader/primary_replacement.cc
@@ -327,7 +327,8 @@
 }
 
 std::uint64_t PrimaryAuthority::NextGeneration(const Database& database) const {
-  return std::max(database.record.generation + 1, EraOf(this->epoch) << kGenerationBits);
+  return std::max({database.record.generation + 1, database.known_generation + 1,
+                   EraOf(this->epoch) << kGenerationBits});
 }
 
 void PrimaryAuthority::Promote(const std::string& name, Database& database) {
--- a/src/relay/primary_grants.cc
+++ b/src/relay/primary_grants.cc
@@ -18,7 +18,8 @@
     return;
   }
   this->epoch = grant.epoch;
-  if (entry.grant && entry.grant->generation > grant.generation) {
+  const bool held = entry.grant && this->clock.Now() < entry.grant->valid_until;
+  if (held && entry.grant->generation > grant.generation) {
     return;
   }
   const bool renewal = entry.grant && entry.grant->generation == grant.generation;
@@ -36,7 +37,8 @@
   this->epoch = from_epoch;
   Entry& entry = this->entries[database];
   entry.revoked_generation = std::max(entry.revoked_generation, generation);
-  return true;
+  const bool held = entry.grant && this->clock.Now() < entry.grant->valid_until;
+  return !held || entry.Revoked();
 }
 
 void PrimaryGrants::FinishRevocation(const std::string& database) {
--- a/src/relay_daemon/fleet_leader.cc
+++ b/src/relay_daemon/fleet_leader.cc
@@ -192,6 +192,7 @@
         state.revisions[name] = item.revision;
       } else {
         this->logger.Error("primary_record_unreadable", {{"key", item.key}});
+        state.unreadable[name] = item.revision;
       }
     }
   }
--- a/src/relay_daemon/fleet_messages.cc
+++ b/src/relay_daemon/fleet_messages.cc
@@ -1,5 +1,6 @@
 #include "fleet_messages.h"
 
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -9,6 +10,9 @@
 using Json = nlohmann::json;
 using std::chrono::microseconds;
 
+// Leaves room for later generations.
+constexpr std::uint64_t kMaxGeneration = std::numeric_limits<std::uint64_t>::max() / 2;
+
 // Durations are transmitted in whole microseconds.
 std::int64_t ToWire(Duration duration) {
   return std::chrono::duration_cast<microseconds>(duration).count();
@@ -129,13 +133,25 @@
 std::string ToJson(const MemberRecord& record) { return MemberJson(record).dump(); }
 
 std::optional<MemberRecord> ParseMemberRecord(const std::string& text) {
-  return Parse<MemberRecord>(text, DecodeMember);
+  const std::optional<MemberRecord> record = Parse<MemberRecord>(text, DecodeMember);
+  return record && record->endpoint != Endpoint{} ? record : std::nullopt;
 }
 
 std::string ToJson(const PrimaryRecord& record) { return PrimaryJson(record).dump(); }
 
+// Another writer may have replaced the record. Conversions of the JSON library accept negative
+// numbers and numbers with a fraction.
 std::optional<PrimaryRecord> ParsePrimaryRecord(const std::string& text) {
-  return Parse<PrimaryRecord>(text, DecodePrimary);
+  return Parse<PrimaryRecord>(text, [](const Json& json) -> std::optional<PrimaryRecord> {
+    for (const char* field : {"generation", "term", "era"}) {
+      if (json.contains(field) && !json.at(field).is_number_unsigned()) {
+        return std::nullopt;
+      }
+    }
+    const PrimaryRecord record = DecodePrimary(json);
+    const bool valid = !record.server.empty() && record.generation <= kMaxGeneration;
+    return valid ? std::optional<PrimaryRecord>(record) : std::nullopt;
+  });
 }
 
 std::string ToJson(const HeartbeatMessage& message) {
--- a/src/relay_daemon/fleet_messages_test.cc
+++ b/src/relay_daemon/fleet_messages_test.cc
@@ -253,5 +253,33 @@
   EXPECT_EQ(findings.Items().at(0).place, "settings file");
 }
 
+// Guards against the use of records that another writer left in the store.
+TEST(FleetMessagesTest, OddRecordsInTheStoreAreRejected) {
+  const std::string deep = std::string(100'000, '[') + std::string(100'000, ']');
+  const auto primary = [](const std::string& server, const std::string& generation,
+                          const std::string& term) {
+    return "{\"server\":" + server + ",\"generation\":" + generation +
+           ",\"serving\":true,\"term\":" + term + ",\"era\":0,\"settled\":true}";
+  };
+  EXPECT_TRUE(ParsePrimaryRecord(primary("\"i-1\"", "5", "7")));
+  for (const std::string& text :
+       {std::string(), std::string("null"), std::string("\xff"), deep, primary("7", "5", "7"),
+        primary("\"\"", "5", "7"), primary("\"i-1\"", "-5", "7"), primary("\"i-1\"", "5.5", "7"),
+        primary("\"i-1\"", "18446744073709551615", "7"), primary("\"i-1\"", "1e999", "7"),
+        primary("\"i-1\"", deep, "7"), primary("\"i-1\"", "5", "1e30"),
+        primary("\"i-1\"", "5", "\"7\"")}) {
+    EXPECT_FALSE(ParsePrimaryRecord(text)) << text.substr(0, 200);
+  }
+  const auto member = [](const std::string& endpoint) {
+    return R"({"member":"m1","incarnation":"x","data_centre":"dc","endpoint":)" + endpoint + "}";
+  };
+  EXPECT_TRUE(ParseMemberRecord(member("\"10.0.0.1:80\"")));
+  for (const std::string& text :
+       {std::string(), std::string("[]"), deep, member("7"), member("\"10.0.0.1:65536\""),
+        member("\"nowhere:80\""), member(deep)}) {
+    EXPECT_FALSE(ParseMemberRecord(text)) << text.substr(0, 200);
+  }
+}
+
 }  // namespace
 }  // namespace sycamoredrum
--- a/src/relay_daemon/fleet_simulation_test.cc
+++ b/src/relay_daemon/fleet_simulation_test.cc
@@ -274,6 +274,30 @@
   }
 }
 
+// Guards against generations that begin anew: another writer replaces the record of the primary,
+// and the next leader revokes generations below those that the members hold.
+TEST(FleetSimulationTest, AnUnreadableRecordDoesNotHideTheGrants) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    SimulatedFleet fleet(seed, 5);
+    fleet.long_message_delays = false;
+    fleet.Advance(seconds(9));
+    fleet.database.At(0).silent = true;
+    fleet.Advance(seconds(9));
+    ASSERT_EQ(fleet.promotions, 1);
+    fleet.store.Put(std::string(kPrimariesPrefix) + "db", "[[[");
+    fleet.store.Revoke(kLeaderKey);
+    fleet.database.servers.at(fleet.database.promotions[0]).down = true;
+    // SimulatedFleet::OnPromote checks that no member may use the old primary.
+    fleet.Advance(seconds(20));
+    EXPECT_EQ(fleet.promotions, 2) << "seed " << seed;
+    EXPECT_EQ(fleet.MembersWithGrant(), 5U) << "seed " << seed;
+    if (testing::Test::HasFailure()) {
+      fleet.PrintLog();
+      FAIL() << "seed " << seed;
+    }
+  }
+}
+
 // Guards against the use of a replaced primary that has not noticed its replacement: it is promoted
 // again later, and still claims to be the primary before that has taken effect.
 TEST(FleetSimulationTest, AReplacedPrimaryLeadsOnlyAfterItsPromotion) {
@@ -316,7 +340,7 @@
     const int node = static_cast<int>(this->random() % static_cast<std::uint64_t>(this->size));
     const int other = static_cast<int>(this->random() % static_cast<std::uint64_t>(this->size));
     const int server = static_cast<int>(this->random() % 3);
-    switch (this->random() % 21) {
+    switch (this->random() % 22) {
       case 0:
         this->fleet.StopNode(node);
         break;
@@ -381,6 +405,9 @@
         this->fleet.clock.RunAfter(milliseconds(100 + this->random() % 1500),
                                    [this] { this->fleet.store.down = false; });
         break;
+      case 21:
+        this->OverwriteKey(node);
+        break;
       default:
         this->fleet.links_cut.clear();
         break;
@@ -446,6 +473,13 @@
     }
   }
 
+  /// Lets another writer replace a document of the fleet in the store.
+  void OverwriteKey(int member) {
+    const std::string keys[] = {kLeaderKey, std::string(kPrimariesPrefix) + "db",
+                                kMembersPrefix + ("m" + std::to_string(member))};
+    this->fleet.store.Put(keys[this->random() % 3], "[[[");
+  }
+
   /// Lets the server that leads in the latest term announce its planned stop.
   void Drain() {
     SimulatedDatabase::Server& primary = this->Primary();
--- a/src/relay_daemon/simulated_fleet_test.h
+++ b/src/relay_daemon/simulated_fleet_test.h
@@ -280,7 +280,9 @@
           event.removed ? std::nullopt : std::optional<KeyValue>(event.item);
       if (item) {
         this->grants.Adopt(item->revision);
-        this->leader_number = std::stoi(ParseMemberRecord(item->value)->member.substr(1));
+        if (const std::optional<MemberRecord> record = ParseMemberRecord(item->value)) {
+          this->leader_number = std::stoi(record->member.substr(1));
+        }
       }
       this->leader->LeaderKeyChanged(item);
     } else if (event.item.key.rfind(kMembersPrefix, 0) == 0) {
