Confirm a promotion by a new term if the server already claimed to lead

Cause: if the primary of the latest term has crashed before anybody saw that term, a former primary that has not noticed its replacement can be chosen. The leader took its claim of the earlier term as the confirmation of the promotion, 0.3 s before that took effect, and granted it.

Evidence: FormerPrimaryIsGrantedOnlyAfterItsPromotionHasTakenEffect fails without the change.

--- a/src/include/sycamoredrum/primary_authority.h
+++ b/src/include/sycamoredrum/primary_authority.h
@@ -319,6 +319,9 @@
     std::optional<LogPosition> final_position;  ///< End of the old primary's log.
     std::set<std::string> failed_targets;
     std::string target;  ///< Server that the next record names.
+    /// Term in which the target already claimed to lead when it was chosen. Until its promotion
+    /// takes effect, it may be a former primary that has not noticed its replacement.
+    std::optional<std::uint64_t> claimed_term;
     std::string old_server;
     bool call_in_flight = false;
     TimePoint next_call;
--- a/src/leader/primary_authority_test.cc
+++ b/src/leader/primary_authority_test.cc
@@ -79,7 +79,8 @@
       EXPECT_FALSE(grant && grant->server != server)
           << "the member may use " << grant->server << " while " << server << " is promoted";
       this->promoted_at[server] = this->clock.Now();
-      this->SetRole(server, Role::kPrimary, ++this->term);
+      this->clock.RunAfter(this->promotion_time,
+                           [this, server] { this->SetRole(server, Role::kPrimary, ++this->term); });
       done(PromoteOutcome::kAccepted);
     };
     hooks.demote = [](const BackendServerRecord&, std::uint64_t) {};
@@ -120,6 +121,7 @@
   std::function<bool(const PrimaryRecord&)> store_refuses;
   std::uint64_t term = 5;  ///< Of the last promotion.
   bool revocations_acknowledged = true;
+  Duration promotion_time = Duration::zero();
   std::set<std::string> not_running;  ///< Servers that the platform refuses to promote.
   PrimaryGrants grants{this->clock};  ///< Of the member.
   std::map<std::string, TimePoint> promoted_at;
@@ -272,6 +274,30 @@
   EXPECT_TRUE(this->stored.serving);
 }
 
+// Guards against the use of a former primary that has not noticed its replacement: the primary of
+// the latest term has crashed, and the former one is promoted again and claims to lead before that
+// has taken effect.
+TEST_F(PrimaryAuthorityTest, FormerPrimaryIsGrantedOnlyAfterItsPromotionHasTakenEffect) {
+  this->RunUntil(seconds(20));
+  this->granted.clear();
+  this->not_running = {"a"};
+  this->servers["a"].outcome = ProbeOutcome::kNotListening;
+  this->SetRole("b", Role::kPrimary, this->term);
+  this->promotion_time = milliseconds(300);
+  FleetState state;
+  state.members = {"registered"};
+  state.era_observed_at = this->restored_at;
+  state.records[kDatabase] =
+      PrimaryRecord{"a", this->stored.generation + 1, false, this->term, kRestoredEra, true};
+  state.revisions[kDatabase] = MakeRevision(kRestoredEra, 40);
+  this->authority.Begin(MakeRevision(kRestoredEra, 50), state);
+  while (this->granted.count("b") == 0 && this->clock.Now() < this->restored_at + seconds(30)) {
+    this->RunUntil(this->clock.Now() - this->restored_at + kTick);
+  }
+  ASSERT_EQ(this->granted.count("b"), 1U);
+  EXPECT_GE(this->clock.Now() - this->promoted_at["b"], this->promotion_time);
+}
+
 // Guards against commits that are lost after a hand-over that was given up because a member did not
 // answer: the primary crashes before it has resumed, and another server is promoted while that
 // member may use it.
--- a/src/leader/primary_replacement.cc
+++ b/src/leader/primary_replacement.cc
@@ -27,6 +27,7 @@
                      {"silence_ms", LogMilliseconds(this->clock.Now() - database.last_answer)}});
   database.planned = planned;
   database.resume_promotion = false;
+  database.claimed_term.reset();
   database.old_server = database.record.server;
   database.final_position.reset();
   database.candidates.clear();
@@ -222,6 +223,8 @@
         database.final_position ? database.final_position->ToString() : "unknown"},
        {"newest_observed", database.newest ? database.newest->position.ToString() : "unknown"}});
   database.target = target;
+  database.claimed_term =
+      probe.role == Role::kPrimary ? std::optional<std::uint64_t>(probe.term) : std::nullopt;
   this->Enter(name, database, Phase::kRecord);
   this->StoreRecord(name, database);
 }
@@ -381,6 +384,8 @@
 void PrimaryAuthority::Confirm(const std::string& name, Database& database) {
   const TimePoint now = this->clock.Now();
   if (now - database.phase_started > kConfirmationLimit) {
+    // The platform may leave the present primary as it is.
+    database.claimed_term.reset();
     this->Enter(name, database, Phase::kPromote);
     return;
   }
@@ -405,8 +410,9 @@
 void PrimaryAuthority::OnConfirm(const std::string& name, Database& database,
                                  const BackendProbe& probe, TimePoint sent) {
   database.ObserveTerm(probe);
+  const bool not_promoted_yet = database.claimed_term && probe.term <= *database.claimed_term;
   if (probe.outcome != ProbeOutcome::kAnswered || probe.role != Role::kPrimary ||
-      probe.term < database.known_term) {
+      probe.term < database.known_term || not_promoted_yet) {
     database.next_call = this->clock.Now() + kProbeInterval / 5;
     return;
   }
