Count the time of a drain across changes of the leader

Cause: a leader counted a drain from the moment at which it checked that primary as leader. The next leader, elected 2.3 s after the loss, began at zero, and could not hand over before the grants of the lost process ended.

Change: each process notes when it learned that a server drains, whether it leads or not.

--- a/src/include/sycamoredrum/primary_authority.h
+++ b/src/include/sycamoredrum/primary_authority.h
@@ -196,8 +196,10 @@
   static constexpr Duration kPlannedRevocationLimit = std::chrono::milliseconds(700);
   /// A draining primary is replaced after this time even if commits are lost.
   static constexpr Duration kForceHandOverAfter = std::chrono::seconds(4);
-  /// A draining primary gets no statements after this time; the shortest drain in use is 7 s.
-  static constexpr Duration kStopUseAfter = std::chrono::milliseconds(5500);
+  /// A draining primary gets no statements after this time; the shortest drain in use is 7 s. A
+  /// process that relied on a lost leader for the servers' records learns of the drain up to 1.8 s
+  /// late.
+  static constexpr Duration kStopUseAfter = std::chrono::milliseconds(4800);
   /// A primary whose server record is missing for this time is replaced. Records that expired
   /// during an outage of the store are written again within about 2 s.
   static constexpr Duration kServerRecordMissingLimit = std::chrono::milliseconds(2500);
@@ -245,8 +247,10 @@
   void End();
   bool Active() const { return this->epoch != 0; }
 
-  void PutServer(const BackendServerRecord& record) { this->servers[record.id] = record; }
-  void RemoveServer(const std::string& id) { this->servers.erase(id); }
+  /// Adds or changes the record of a backend server. Also to be called while another process leads:
+  /// a leader must know for how long a server has been draining.
+  void PutServer(const BackendServerRecord& record);
+  void RemoveServer(const std::string& id);
   void SetMembers(const std::set<std::string>& names);
   /// Sets the databases, and for each the number of connections that one of its backend servers
   /// admits.
@@ -307,7 +311,6 @@
     int refusals = 0;                         ///< Refused connections of probes in a row.
     std::deque<TimePoint> unanswered_probes;  ///< When each of them was sent.
     bool suspected = false;  ///< Some member has reported that the primary does not answer it.
-    std::optional<TimePoint> draining_since;
     std::optional<TimePoint> server_record_missing_since;
     std::optional<TimePoint> successor_search_started;  ///< Of the search for a hand-over.
     /// Newest position known when the search started; the successor must have it.
@@ -396,6 +399,8 @@
   TimePoint lost_grants_end;
   TimePoint settled_from;  ///< Records are stored as settled from then on.
   std::map<std::string, BackendServerRecord> servers;
+  /// When this process learned that a server is draining, by id.
+  std::map<std::string, TimePoint> draining_since;
   std::map<std::string, Member> members;
   GrantHolders holders;
   std::map<std::string, Database> databases;
--- a/src/leader/primary_authority.cc
+++ b/src/leader/primary_authority.cc
@@ -114,6 +114,20 @@
   return result;
 }
 
+void PrimaryAuthority::PutServer(const BackendServerRecord& record) {
+  this->servers[record.id] = record;
+  if (record.state == BackendServerState::kDraining) {
+    this->draining_since.emplace(record.id, this->clock.Now());
+  } else {
+    this->draining_since.erase(record.id);
+  }
+}
+
+void PrimaryAuthority::RemoveServer(const std::string& id) {
+  this->servers.erase(id);
+  this->draining_since.erase(id);
+}
+
 void PrimaryAuthority::SetMembers(const std::set<std::string>& names) {
   for (auto member = this->members.begin(); member != this->members.end();) {
     member = names.count(member->first) == 0 ? this->members.erase(member) : std::next(member);
--- a/src/leader/primary_authority_test.cc
+++ b/src/leader/primary_authority_test.cc
@@ -274,6 +274,41 @@
   EXPECT_TRUE(this->stored.serving);
 }
 
+// Guards against statements at a draining primary until it ends: the leader is lost as the primary
+// begins to drain, and the next one counts from its election. It cannot promote another server yet,
+// because the lost process might still use the primary.
+TEST_F(PrimaryAuthorityTest, ANewLeaderKnowsForHowLongThePrimaryHasBeenDraining) {
+  this->RunUntil(seconds(20));
+  BackendServerRecord draining;
+  draining.id = "a";
+  draining.database = kDatabase;
+  draining.state = BackendServerState::kDraining;
+  this->authority.End();
+  this->authority.PutServer(draining);
+  const TimePoint drain_began = this->clock.Now();
+  this->clock.Advance(seconds(3));
+  FleetState state;
+  state.members = {"registered", "lost"};
+  state.era_observed_at = this->restored_at;
+  state.records[kDatabase] = this->stored;
+  state.revisions[kDatabase] = MakeRevision(kRestoredEra, 40);
+  this->authority.Begin(MakeRevision(kRestoredEra, 50), state);
+  while (this->clock.Now() < drain_began + seconds(9)) {
+    this->authority.Tick();
+    MemberReport report;
+    report.member = "registered";
+    report.registration = kRegistration;
+    report.registered = true;
+    report.epoch = MakeRevision(kRestoredEra, 50);
+    const GrantSet grants = this->authority.OnReport(report);
+    const auto grant = grants.primaries.find(kDatabase);
+    const bool usable = grant != grants.primaries.end() && grant->second.server == "a";
+    EXPECT_TRUE(!usable ||
+                this->clock.Now() <= drain_began + PrimaryAuthority::kStopUseAfter + kTick);
+    this->clock.Advance(kTick);
+  }
+}
+
 // Guards against the use of a former primary that has not noticed its replacement: the primary of
 // the latest term has crashed, and the former one is promoted again and claims to lead before that
 // has taken effect.
--- a/src/leader/primary_watch.cc
+++ b/src/leader/primary_watch.cc
@@ -15,12 +15,8 @@
     return;
   }
   database.server_record_missing_since.reset();
-  const bool draining = primary->state == BackendServerState::kDraining;
-  if (draining && !database.draining_since) {
-    database.draining_since = now;
-  } else if (!draining) {
-    database.draining_since.reset();
-  }
+  const auto drain = this->draining_since.find(primary->id);
+  const bool draining = drain != this->draining_since.end();
   const std::string failure = this->FailureReason(name, database);
   if (!failure.empty()) {
     if (this->MayRevoke()) {
@@ -28,7 +24,7 @@
     }
     return;
   }
-  const Duration drained = draining ? now - *database.draining_since : Duration::zero();
+  const Duration drained = draining ? now - drain->second : Duration::zero();
   if (drained >= kStopUseAfter || (drained >= kForceHandOverAfter && this->MayRevoke())) {
     this->Replace(name, database, false, "the primary is draining and must not be used any more");
   } else if (draining || this->ShouldHandOver(database)) {
