Require a session's own commit across generations of the same log

Cause: after a hand-over that was given up, the same log goes on under the next generation. The relay got it with a position observed before the commit, and the session ignored its own commit because that was made under another generation, for up to the route's maximum age.

Change: the position of the own commit is required in every generation. A promotion begins a new term, so that each position of a later term exceeds the commit, and the commit was either kept or rolled back by then; the wait for a rolled-back position, which the comparison of generations prevented, cannot come about.

--- a/src/relay/caller_session.h
+++ b/src/relay/caller_session.h
@@ -165,7 +165,6 @@
   std::optional<ActiveStatement> active;
   std::deque<Statement> queue;  ///< Statements that arrived while another was in progress.
   std::uint64_t next_statement_number = 1;
-  std::uint64_t last_commit_generation = 0;         ///< Generation of `last_commit_position`.
   std::optional<LogPosition> last_commit_position;  ///< Log position of this session's last commit.
   bool caller_disconnected = false;
   bool starting = false;  ///< True while StartStatement runs.
--- a/src/relay/caller_session_dispatch.cc
+++ b/src/relay/caller_session_dispatch.cc
@@ -279,10 +279,10 @@
   }
   const std::optional<LogPosition> position = window.OldestSince(this->Now() - this->route.max_age);
   const bool last_commit_applies = this->route.consistency == ReadConsistency::kReadYourWrites &&
-                                   this->last_commit_position &&
-                                   this->last_commit_generation == window.Generation();
-  // A commit of an earlier generation need not be required: it is either in the log of every later
-  // generation or was rolled back.
+                                   this->last_commit_position.has_value();
+  // A promotion begins a new term. A position of a later term than that of the commit is greater,
+  // and the log up to it has the commit, unless the promotion has rolled it back. A new generation
+  // alone says nothing of the commit: after a hand-over that was given up, the same log goes on.
   return position && last_commit_applies ? std::max(*position, *this->last_commit_position)
                                          : position;
 }
--- a/src/relay/caller_session_result.cc
+++ b/src/relay/caller_session_result.cc
@@ -176,7 +176,6 @@
     this->relay.Observe(this->route.database, grant->generation,
                         PositionObservation{*result.position, this->active->sent_at});
     if (durable) {
-      this->last_commit_generation = grant->generation;
       this->last_commit_position = result.position;
     }
   }
--- a/src/relay/session_relay_test.cc
+++ b/src/relay/session_relay_test.cc
@@ -107,6 +107,31 @@
 
 // Guards against requiring positions of a rolled-back log: after a promotion, no server may ever
 // reach them.
+// Guards against a session that does not see its own commit: a hand-over is given up while this
+// process is cut off, and it learns of the next generation together with an older position.
+TEST_F(SessionRelayTest, OwnCommitIsRequiredUnderALaterGenerationOfTheSameLog) {
+  for (int replica : {1, 2}) {
+    this->database.At(replica).lag = seconds(5);
+  }
+  this->Advance(milliseconds(100));
+  const TimePoint observed_at = this->clock.Now();
+  const LogPosition before = SimulatedDatabase::End(this->database.At(0));
+  TestCaller& caller = this->Open("quotes");
+  ASSERT_FALSE(this->RunStatement(caller, MakeStatement(StatementKind::kWrite, "w")).error);
+  const LogPosition commit = SimulatedDatabase::End(this->database.At(0));
+  this->Grant(0, 2);
+  this->relay->ObservePosition("orders", 2, PositionObservation{before, observed_at});
+  // Reads prefer the replicas, which answer faster.
+  this->database.At(0).work = milliseconds(300);
+  for (int i = 0; i < 5; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    EXPECT_FALSE(this->RunStatement(caller, MakeStatement(StatementKind::kRead, id)).error);
+    for (const auto& run : this->RunsOf(id)) {
+      EXPECT_GE(run.log_end, commit) << run.server;
+    }
+  }
+}
+
 TEST_F(SessionRelayTest, PositionsOfAnEarlierGenerationAreNotRequired) {
   TestCaller& caller = this->Open("quotes");
   this->database.At(1).isolated = true;
