Do not count heartbeats without grants as a change of the primaries

Cause: the version of the primaries that members know also changed with the answer to a member that is not registered, and again with the next one, so that all members received all primaries anew. Since such members exist after each restore of the store, this would cost a large fleet much at its worst moment.

Change: the answer ends before the versions. Wording of two comments.

--- a/src/include/sycamoredrum/grant_holders.h
+++ b/src/include/sycamoredrum/grant_holders.h
@@ -9,12 +9,12 @@
 
 namespace sycamoredrum {
 
-/// The leader's book of the members that may hold grants, and until when they may use them.
+/// Tracks which members may hold grants of the leader or its predecessors, and until when.
 ///
-/// Invariant: no server is promoted while a member may use another one under a grant. A member
-/// therefore stays in the book until its grants have expired or it has given them back itself. It
-/// does not matter whether its registration is removed, it is silent, it registers again, or this
-/// process begins another leadership.
+/// Invariant: no server is promoted while a member may use another one under a grant. A member is
+/// therefore tracked until its grants have expired or it has given them back itself. It does not
+/// matter whether its registration is removed, it is silent, it registers again, or this process
+/// begins another leadership.
 ///
 /// A leader does not know the grants of its predecessors. It finds their holders by their
 /// registrations, so that a member gets grants only under a registration that it knows to be in
--- a/src/include/sycamoredrum/primary_authority.h
+++ b/src/include/sycamoredrum/primary_authority.h
@@ -315,7 +315,7 @@
     std::optional<TimePoint> successor_search_started;  ///< Of the search for a hand-over.
     /// Newest position known when the search started; the successor must have it.
     LogPosition min_successor_position;
-    /// Members whose grants of the database may still be used, since the replacement began.
+    /// Members that may still use a grant of the database from before its replacement.
     std::set<std::string> awaiting;
     std::map<std::string, BackendProbe> candidates;
     std::size_t discovery_probes_in_flight = 0;
--- a/src/relay_daemon/fleet_leader.cc
+++ b/src/relay_daemon/fleet_leader.cc
@@ -386,6 +386,10 @@
   const GrantSet grants = this->authority.OnReport(report);
   answer.epoch = grants.epoch;
   answer.registered = report.registered;
+  if (answer.epoch == 0) {
+    // The versions of the primaries describe grants only.
+    return answer;
+  }
   answer.store_in_reach = now - this->leadership.ConfirmedAt() < kStoreConfirmationMaxAge;
   answer.stamp = Stamp(now);
   answer.heartbeat_interval = std::clamp<Duration>(
