Carry the organisation and the key through the interfaces

Cause: the relay ignores the key in a caller's first message and names itself to every backend server, so nothing can depend on the caller's organisation.

Change: SessionRelay::Open takes a SessionRequest with route and key and returns a reason if it refuses. Connection pools and channels are opened on behalf of an organisation; all callers pass an empty one for now. RelayConfiguration gains a directory of organisations, routes may require a key, and SessionRelayHooks::admit decides on operations.

--- a/src/include/sycamoredrum/backend_channel.h
+++ b/src/include/sycamoredrum/backend_channel.h
@@ -36,8 +36,9 @@
   std::function<void(const std::string& reason)> closed;
 };
 
-/// Starts to open a connection to a backend server.
-using OpenBackendChannel = std::function<std::shared_ptr<BackendChannel>(const BackendServerRecord&,
-                                                                         BackendChannelEvents)>;
+/// Starts to open a connection to a backend server, which is told the name of the organisation that
+/// uses it. An empty name stands for the relay itself and for callers without an organisation.
+using OpenBackendChannel = std::function<std::shared_ptr<BackendChannel>(
+    const BackendServerRecord&, const std::string& organisation, BackendChannelEvents)>;
 
 }  // namespace sycamoredrum
--- a/src/include/sycamoredrum/connection_pool.h
+++ b/src/include/sycamoredrum/connection_pool.h
@@ -33,10 +33,10 @@
 
 /// Side effects of a ConnectionPool.
 struct ConnectionPoolHooks {
-  /// Opens a connection and calls back once. The pool ignores a second callback, and treats an open
-  /// without an answer after kOpenTimeout as unreachable; it closes connections that are reported
-  /// later.
-  std::function<void(OpenCallback)> open;
+  /// Opens a connection for `organisation` (see LeaseRequest) and calls back once. The pool ignores
+  /// a second callback, and treats an open without an answer after kOpenTimeout as unreachable; it
+  /// closes connections that are reported later.
+  std::function<void(const std::string& organisation, OpenCallback)> open;
   /// Closes a connection; the backend server rolls back its transaction.
   std::function<void(ConnectionId)> close;
 };
@@ -48,6 +48,13 @@
   /// Optional. Returns the cost of using an idle connection; the cheapest one is leased. If not
   /// set, the most recently released one is leased.
   std::function<int(ConnectionId)> cost = nullptr;
+  /// Organisation for which the connection is used; empty if there is none. A connection that was
+  /// opened for one organisation is never leased for another one.
+  std::string organisation = {};
+  int organisation_weight = 1;  ///< Share of the organisation within the caller group.
+  /// The connection may belong to any organisation. Only for statements of the relay itself that
+  /// read no data and change no state of the connection.
+  bool any_organisation = false;
 };
 
 enum class LeaseStatus {
--- a/src/include/sycamoredrum/relay_configuration.h
+++ b/src/include/sycamoredrum/relay_configuration.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -11,6 +12,8 @@
 
 namespace sycamoredrum {
 
+class OrganisationDirectory;
+
 /// Commits that a read is guaranteed to see.
 enum class ReadConsistency {
   kPrimary,         ///< All acknowledged commits.
@@ -27,13 +30,14 @@
   Duration statement_timeout{};  ///< For a single statement.
   Duration latency_objective{};  ///< For a whole operation.
   int priority = 0;              ///< 0 is the highest.
+  bool is_public = true;         ///< Callers need no key.
 };
 
 inline bool operator==(const RelayRoute& a, const RelayRoute& b) {
   return std::tie(a.name, a.database, a.consistency, a.max_age, a.statement_timeout,
-                  a.latency_objective, a.priority) == std::tie(b.name, b.database, b.consistency,
-                                                               b.max_age, b.statement_timeout,
-                                                               b.latency_objective, b.priority);
+                  a.latency_objective, a.priority, a.is_public) ==
+         std::tie(b.name, b.database, b.consistency, b.max_age, b.statement_timeout,
+                  b.latency_objective, b.priority, b.is_public);
 }
 
 /// One complete version of the configuration. A later version has a greater number.
@@ -43,6 +47,8 @@
   std::map<std::string, int> connection_caps;  ///< Limit per backend server, by database.
   Duration transaction_idle_timeout{};
   Duration session_idle_timeout{};
+  /// Organisations and their keys; null if the configuration has none, and no caller needs a key.
+  std::shared_ptr<const OrganisationDirectory> organisations;
 };
 
 enum class BackendServerState { kReady, kDraining };
--- a/src/include/sycamoredrum/relay_platform.h
+++ b/src/include/sycamoredrum/relay_platform.h
@@ -15,10 +15,8 @@
 
 namespace sycamoredrum {
 
-/// Opens a session on the route `name` for a caller's connection. Returns null if no such route
-/// exists.
-using OpenCallerSession =
-    std::function<std::shared_ptr<CallerSession>(const std::string& name, CallerSessionHooks)>;
+/// Opens a session for a caller's connection; see SessionRelay::Open.
+using OpenCallerSession = std::function<OpenedSession(const SessionRequest&, CallerSessionHooks)>;
 
 /// An open connection of a caller.
 class CallerConnection {
--- a/src/include/sycamoredrum/session_relay.h
+++ b/src/include/sycamoredrum/session_relay.h
@@ -63,12 +63,36 @@
   std::string data_centre;  ///< Data centre of this process.
 };
 
+/// Answer of SessionRelayHooks::admit.
+struct AdmissionVerdict {
+  bool admitted = true;
+  Duration retry_after{};  ///< Not admitted: when another attempt is likely to be admitted.
+};
+
 struct SessionRelayHooks {
   /// Opens a connection to a backend server.
   OpenBackendChannel open_channel;
   /// A primary could not be reached, a connection to it was lost, or it refused a statement because
   /// it is not the primary.
   std::function<void(const std::string& database)> primary_suspected;
+  /// Optional. Decides whether an operation of `organisation` may run now: a statement outside a
+  /// transaction, or a whole transaction. Calls `done` exactly once, at the latest at `deadline`,
+  /// possibly before it returns. If not set, every operation is admitted.
+  std::function<void(const std::string& organisation, TimePoint deadline,
+                     std::function<void(const AdmissionVerdict&)> done)>
+      admit = nullptr;
+};
+
+/// First message of a caller.
+struct SessionRequest {
+  std::string route;
+  std::string key;  ///< Identifies the caller's organisation; a secret. Empty if it sent none.
+};
+
+/// Answer to a SessionRequest.
+struct OpenedSession {
+  std::shared_ptr<CallerSession> session;  ///< Null if the session was refused.
+  StatementError refusal;                  ///< Only if it was refused.
 };
 
 /// Forwards the statements of callers' sessions to backend servers: writes and reads of the newest
@@ -145,8 +169,8 @@
   std::optional<PositionObservation> NewestPosition(const std::string& database,
                                                     std::uint64_t generation) const;
 
-  /// Opens a session on the route `name`. Returns null if the configuration has no such route.
-  std::shared_ptr<CallerSession> Open(const std::string& name, CallerSessionHooks hooks);
+  /// Opens a session. It is refused with kUnknownDatabase if the configuration has no such route.
+  OpenedSession Open(const SessionRequest& request, CallerSessionHooks hooks);
 
   /// Retries reads that wait for an unresponsive server, ends idle transactions, updates the moving
   /// averages and closes unused connections. To be called about every 50 ms.
--- a/src/include/sycamoredrum/statement.h
+++ b/src/include/sycamoredrum/statement.h
@@ -59,6 +59,7 @@
   kAborted,             ///< The transaction was rolled back; nothing of it remains.
   kUnknownStatement,    ///< Not run: no prepared statement has that name.
   kUnknownDatabase,     ///< Not run: no route has that name.
+  kUnauthenticated,     ///< Not run: the caller's key belongs to no organisation.
   kMalformed,           ///< Not run: it cannot be parsed or is not allowed in this state.
   kTooLarge,            ///< Not run: the message exceeds the limit.
   kFailed,              ///< Ran and failed.
--- a/src/pool/connection_pool.cc
+++ b/src/pool/connection_pool.cc
@@ -216,7 +216,7 @@
   this->RunLater(kOpenTimeout, [this, open] {
     this->FinishOpen(open, OpenResult{OpenStatus::kUnreachable, 0});
   });
-  this->hooks.open([this, guard, open, close](const OpenResult& result) {
+  this->hooks.open("", [this, guard, open, close](const OpenResult& result) {
     if (!guard.expired()) {
       this->FinishOpen(open, result);
     } else if (result.status == OpenStatus::kOpened) {
--- a/src/pool/connection_pool_test.cc
+++ b/src/pool/connection_pool_test.cc
@@ -21,9 +21,10 @@
 class PoolHarness {
  public:
   explicit PoolHarness(int limit, std::size_t max_waiting = 64)
-      : pool(ConnectionPoolHooks{
-                 [this](OpenCallback callback) { this->opens.push_back(std::move(callback)); },
-                 [this](ConnectionId id) { ++this->closed[id]; }},
+      : pool(ConnectionPoolHooks{[this](const std::string&, OpenCallback callback) {
+                                   this->opens.push_back(std::move(callback));
+                                 },
+                                 [this](ConnectionId id) { ++this->closed[id]; }},
              limit, clock, clock, max_waiting) {}
 
   // Returns the number of the request, which is the key of its answer in `answers`.
--- a/src/proxy/holder_registry.cc
+++ b/src/proxy/holder_registry.cc
@@ -58,7 +58,8 @@
 ConnectionPoolHooks HolderRegistry::MakePoolHooks(const BackendServerConfig& server,
                                                   const std::string& database) {
   ConnectionPoolHooks hooks;
-  hooks.open = [this, endpoint = server.statements, database](OpenCallback callback) {
+  hooks.open = [this, endpoint = server.statements, database](const std::string&,
+                                                              OpenCallback callback) {
     this->dependencies.connections.Open(endpoint, database, kOpenTimeout,
                                         this->context->Wrap(std::move(callback)));
   };
--- a/src/relay/relay_state.h
+++ b/src/relay/relay_state.h
@@ -72,7 +72,8 @@
   int ConnectionLimit(const RelayServer& server) const;
   /// Time after which an idle connection to the server is closed.
   Duration IdleTimeout(const RelayServer& server) const;
-  void OpenConnection(const std::string& id, const OpenCallback& done);
+  void OpenConnection(const std::string& id, const std::string& organisation,
+                      const OpenCallback& done);
   void CloseConnection(const std::string& id, ConnectionId connection);
   /// Chooses a server for a read on `database`, except those in `tried`. Returns nothing if none is
   /// usable.
--- a/src/relay/session_relay.cc
+++ b/src/relay/session_relay.cc
@@ -91,8 +91,9 @@
   server->busy_until = this->clock.Now();
   server->unreachable_until = this->clock.Now();
   ConnectionPoolHooks pool_hooks;
-  pool_hooks.open = [this, id = record.id](const OpenCallback& done) {
-    this->OpenConnection(id, done);
+  pool_hooks.open = [this, id = record.id](const std::string& organisation,
+                                           const OpenCallback& done) {
+    this->OpenConnection(id, organisation, done);
   };
   pool_hooks.close = [this, id = record.id](ConnectionId connection) {
     this->CloseConnection(id, connection);
@@ -102,7 +103,8 @@
   this->servers[record.id] = std::move(server);
 }
 
-void SessionRelay::Impl::OpenConnection(const std::string& id, const OpenCallback& done) {
+void SessionRelay::Impl::OpenConnection(const std::string& id, const std::string& organisation,
+                                        const OpenCallback& done) {
   RelayServer* server = this->FindServer(id);
   if (server == nullptr) {
     done(OpenResult{OpenStatus::kUnreachable, 0});
@@ -165,8 +167,8 @@
       done(OpenResult{OpenStatus::kUnreachable, 0});
     });
   };
-  server->sessions[connection] =
-      std::make_unique<BackendSession>(this->hooks.open_channel(server->record, events));
+  server->sessions[connection] = std::make_unique<BackendSession>(
+      this->hooks.open_channel(server->record, organisation, events));
 }
 
 void SessionRelay::Impl::CloseConnection(const std::string& id, ConnectionId connection) {
@@ -439,12 +441,15 @@
   return found->second.window.Newest();
 }
 
-std::shared_ptr<CallerSession> SessionRelay::Open(const std::string& name,
-                                                  CallerSessionHooks hooks) {
-  if (this->impl->configuration->routes.count(name) == 0) {
-    return nullptr;
+OpenedSession SessionRelay::Open(const SessionRequest& request, CallerSessionHooks hooks) {
+  OpenedSession opened;
+  if (this->impl->configuration->routes.count(request.route) == 0) {
+    opened.refusal = StatementError{StatementErrorCode::kUnknownDatabase, "no route has this name"};
+    return opened;
   }
-  return std::make_shared<RelayCallerSession>(*this->impl, name, std::move(hooks));
+  opened.session =
+      std::make_shared<RelayCallerSession>(*this->impl, request.route, std::move(hooks));
+  return opened;
 }
 
 void SessionRelay::Tick() {
--- a/src/relay/session_relay_fixture_test.h
+++ b/src/relay/session_relay_fixture_test.h
@@ -47,7 +47,8 @@
         grants(this->clock),
         logger(LogLevel::kError, LogFormat::kText, this->clock, [](const std::string&) {}) {
     SessionRelayHooks hooks;
-    hooks.open_channel = [this](const BackendServerRecord& record, BackendChannelEvents events) {
+    hooks.open_channel = [this](const BackendServerRecord& record, const std::string&,
+                                BackendChannelEvents events) {
       return this->database.Open(record, std::move(events));
     };
     hooks.primary_suspected = [this](const std::string&) { ++this->suspicions; };
@@ -100,13 +101,14 @@
     this->relay->GrantsChanged();
   }
 
-  TestCaller& Open(const std::string& route) {
+  TestCaller& Open(const std::string& route, const std::string& key = "") {
     this->callers.push_back(std::make_unique<TestCaller>());
     TestCaller* caller = this->callers.back().get();
-    caller->session = this->relay->Open(
-        route,
+    OpenedSession opened = this->relay->Open(
+        SessionRequest{route, key},
         CallerSessionHooks{
             [caller](const StatementResult& result) { caller->results.push_back(result); }, [] {}});
+    caller->session = std::move(opened.session);
     return *caller;
   }
 
--- a/src/relay/session_relay_test.cc
+++ b/src/relay/session_relay_test.cc
@@ -31,7 +31,7 @@
 
 // Guards against serving an unknown route with a default configuration.
 TEST_F(SessionRelayTest, OpensOnlyConfiguredRoutes) {
-  EXPECT_EQ(this->relay->Open("unknown", {}), nullptr);
+  EXPECT_EQ(this->relay->Open(SessionRequest{"unknown", ""}, {}).session, nullptr);
 }
 
 TEST_F(SessionRelayTest, WritesRunOnceAtThePrimary) {
--- a/src/relay/statement.cc
+++ b/src/relay/statement.cc
@@ -20,6 +20,8 @@
       return "unknown_statement";
     case StatementErrorCode::kUnknownDatabase:
       return "unknown_database";
+    case StatementErrorCode::kUnauthenticated:
+      return "unauthenticated";
     case StatementErrorCode::kMalformed:
       return "malformed";
     case StatementErrorCode::kTooLarge:
--- a/src/relay_daemon/relay_daemon.cc
+++ b/src/relay_daemon/relay_daemon.cc
@@ -372,16 +372,16 @@
   const std::uint64_t number = this->next_caller++;
   this->callers[number] = this->platform.serve_caller(
       std::move(stream),
-      [this](const std::string& name, CallerSessionHooks hooks) {
-        std::shared_ptr<CallerSession> session = this->relay.Open(name, std::move(hooks));
-        if (!session) {
+      [this](const SessionRequest& request, CallerSessionHooks hooks) {
+        OpenedSession opened = this->relay.Open(request, std::move(hooks));
+        if (!opened.session) {
           this->logger.Warning(
               "session_refused",
-              {{"route", name},
+              {{"route", request.route},
                {"configuration", absl::StrCat(this->relay.Configuration()->version)},
-               {"reason", "no route has this name"}});
+               {"reason", opened.refusal.message}});
         }
-        return session;
+        return opened;
       },
       [this, number](const std::string& reason) {
         if (absl::StartsWith(reason, kUnexpectedError)) {
--- a/src/request/holder_test_group.h
+++ b/src/request/holder_test_group.h
@@ -31,8 +31,9 @@
   static constexpr Duration kLatency = std::chrono::milliseconds(1);
 
   explicit HolderTestGroup(int limit = 4)
-      : pool(ConnectionPoolHooks{[this](OpenCallback callback) { this->Open(callback); },
-                                 [this](ConnectionId id) { this->Server("a").Close(id); }},
+      : pool(ConnectionPoolHooks{
+                 [this](const std::string&, OpenCallback callback) { this->Open(callback); },
+                 [this](ConnectionId id) { this->Server("a").Close(id); }},
              limit, clock, clock) {
     auto orders = std::make_shared<DatabaseConfig>();
     orders->name = "orders";
