Give each pooled connection an organisation and share by organisation

Cause: a backend server is told in the first message for which organisation a connection is used, so a connection must not serve another one. The pool opened all connections for the relay itself and leased any of them, and the queue knew routes only, so that one organisation could delay all others of its route.

Change: a connection belongs to the organisation for which it was opened. ConnectionPool::Grant is the only place that leases; it refuses the request, closes the connection and counts it (OrganisationMismatches) if they differ. If the next request has no idle connection of its organisation and the limit is reached, the connection released longest ago is replaced. While several organisations wait, an open counts as the service of its route and organisation and its connection is leased to them, so that routes keep their weights and new connections are not replaced before they are used. After a failed open one connection is replaced at a time, and after a refused replacement none until the pause ends. RetireOrganisation closes the connections of an organisation. CloseSurplus counts by organisation. FairQueue runs deficit round robin over routes and over the organisations of a route; a full queue displaces the organisation with the most entries for its weight; one organisation gets at most three quarters of the connections while another one could use one.

Counting the surplus over all organisations was not tried.

--- a/src/include/sycamoredrum/connection_pool.h
+++ b/src/include/sycamoredrum/connection_pool.h
@@ -2,22 +2,18 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
+#include <optional>
 #include <string>
-#include <vector>
 
 #include "sycamoredrum/clock.h"
 #include "sycamoredrum/fair_queue.h"
+#include "sycamoredrum/idle_connection_list.h"
 
 namespace sycamoredrum {
 
-/// Number of a database connection, unique in the process and never used twice.
-using ConnectionId = std::uint64_t;
-
 enum class OpenStatus {
   kOpened,
   kRefused,      ///< The backend server's connection cap is reached.
@@ -87,8 +83,16 @@
 
 /// The connections of one holder to one backend server. A connection has at most one owner, and is
 /// closed and never leased again if its state is not known. While several caller groups wait, none
-/// of them gets more than three quarters of the connections. Not thread-safe; callbacks may run
-/// inside any method and may call the pool again, but must not destroy it.
+/// of them gets more than three quarters of the connections; the same holds for organisations.
+///
+/// A connection belongs to the organisation for which it was opened. If the request that is served
+/// next has no idle connection of its organisation and the limit is reached, the idle connection
+/// that was released longest ago is closed and one is opened. That open counts as service of the
+/// request's caller group and organisation, and the connection is leased to them, so that
+/// organisations do not close each other's connections before they are used.
+///
+/// Not thread-safe; callbacks may run inside any method and may call the pool again, but must not
+/// destroy it.
 class ConnectionPool {
  public:
   /// Maximum number of opens in progress; bounds the load on a backend server that becomes
@@ -133,46 +137,77 @@
   /// soon as they are released.
   void SetLeaving(bool value);
 
+  /// Closes the connections of an organisation: those that are idle now, the others when they are
+  /// released or opened. Connections that are opened later are not affected.
+  void RetireOrganisation(const std::string& organisation);
+
+  /// The organisation for which a connection was opened; nothing if it is not open.
+  std::optional<std::string> OrganisationOf(ConnectionId connection) const;
+  /// Number of leases that were refused because the connection belonged to another organisation.
+  /// Always zero unless the pool has a fault.
+  std::uint64_t OrganisationMismatches() const { return this->organisation_mismatches; }
+
   /// Limit of the connections; during the pause after a refused open, at most the number of those
-  /// that are open.
+  /// that are open or replace one that was.
   int EffectiveLimit() const;
   /// Connections that are open or being opened.
   std::size_t Total() const { return this->connections.size() + this->opens.size(); }
-  std::size_t Idle() const { return this->idle.size(); }
-  std::size_t Leased() const { return this->connections.size() - this->idle.size(); }
+  std::size_t Idle() const { return this->idle.Size(); }
+  std::size_t Leased() const { return this->connections.size() - this->idle.Size(); }
   std::size_t Opening() const { return this->opens.size(); }
   std::size_t Waiting() const { return this->waiting.size(); }
 
  private:
   struct Connection {
+    std::string organisation;
     std::uint64_t lease = 0;  ///< Number of the present lease; 0: idle.
-    std::string caller_group;
+    QueueTurn turn;           ///< Of the request that has the lease.
     TimePoint leased_at;
     TimePoint idle_since;
-    bool closed_by_server = false;
+    bool close_on_release = false;  ///< Closed by the server, or its organisation was retired.
+  };
+  struct Open {
+    QueueTurn turn;            ///< Of the request for which the open was started.
+    bool charged = false;      ///< Counts as service of the turn; the connection is leased to it.
+    bool replacement = false;  ///< An idle connection was closed for it.
+    bool retired = false;      ///< The organisation was retired; the connection is not used.
   };
   struct Waiter {
-    std::string caller_group;
+    QueueTurn turn;
     LeaseCallback callback;
     std::function<int(ConnectionId)> cost;
   };
+  /// Connections that are leased, or are being opened by a charged open.
+  using HeldConnections = std::map<std::string, int>;
 
   void Dispatch();
   void GrantIdle();
-  void Grant(const QueueEntry& entry);
-  ConnectionId TakeIdle(const std::function<int(ConnectionId)>& cost);
+  void GrantOpened(const Open& open, ConnectionId connection);
+  void Grant(const QueueEntry& entry, ConnectionId connection);
   void StartOpens();
-  void StartOpen();
-  void FinishOpen(std::uint64_t open, const OpenResult& result);
+  void StartOpen(const QueueTurn& turn, bool replacement);
+  void FinishOpen(std::uint64_t number, const OpenResult& result);
   void RefuseWithoutConnections();
   void RefuseAll(LeaseStatus status, Duration retry_after);
   void Refuse(std::uint64_t waiter, LeaseStatus status, Duration retry_after);
   void ExpireWaiter(std::uint64_t waiter);
-  void PauseAfterRefusal();
+  void PauseAfterRefusal(bool replacement);
   bool InRefusalPause() const { return this->clock.Now() < this->refused_until; }
   void CloseSurplusIdle();
   void Close(ConnectionId connection);
+  bool HasIdle(const std::string& organisation, bool any_organisation) const;
+  /// True if the pauses and the number of opens in progress admit another open.
+  bool OpenAdmitted() const;
+  /// True if more requests need a connection of the organisation than are being opened.
+  bool OpenNeeded(const std::string& organisation) const;
+  bool HasRoom() const { return this->Total() < static_cast<std::size_t>(this->EffectiveLimit()); }
+  /// True if an idle connection may be closed to open one of another organisation.
+  bool MayReplaceIdle() const;
   bool MayLease(const std::string& caller_group) const;
+  bool MayLease(const std::string& organisation, bool any_organisation) const;
+  bool BelowShare(const HeldConnections& held, const std::string& name) const;
+  /// Adds `change` connections to those held by the turn's caller group and organisation.
+  void CountHeld(const QueueTurn& turn, int change);
   void RunLater(Duration delay, std::function<void()> action);
 
   ConnectionPoolHooks hooks;
@@ -182,17 +217,21 @@
   FairQueue queue;
   bool leaving = false;
   std::map<ConnectionId, Connection> connections;
-  std::vector<ConnectionId> idle;  ///< In order of release.
-  std::size_t min_idle = 0;        ///< Fewest idle connections since `surplus_window_start`.
+  IdleConnectionList idle;
   TimePoint surplus_window_start;
-  std::set<std::uint64_t> opens;  ///< Numbers of the opens in progress.
+  std::map<std::uint64_t, Open> opens;                       ///< Opens in progress by number.
+  std::map<std::string, std::size_t> opens_by_organisation;  ///< Without those that were retired.
+  std::size_t replacement_opens = 0;
   std::map<std::uint64_t, Waiter> waiting;
-  std::map<std::string, int> leases_by_group;
-  TimePoint refused_until;        ///< End of the pause after a refused open.
-  bool single_open_only = false;  ///< The last answer to an open was a refusal.
+  HeldConnections held_by_group;
+  HeldConnections held_by_organisation;
+  TimePoint refused_until;              ///< End of the pause after a refused open.
+  TimePoint replacement_refused_until;  ///< The same, if that open was a replacement.
+  bool single_open_only = false;        ///< The last answer to an open was a refusal.
   TimePoint opens_paused_until;
   OpenStatus last_open = OpenStatus::kUnreachable;
   std::uint64_t next_number = 1;
+  std::uint64_t organisation_mismatches = 0;
   bool dispatching = false;
   bool dispatch_again = false;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);  ///< Expires with the pool.
--- a/src/pool/connection_pool.cc
+++ b/src/pool/connection_pool.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace sycamoredrum {
 
@@ -14,6 +15,7 @@
       queue(clock, max_waiting),
       surplus_window_start(clock.Now()),
       refused_until(clock.Now()),
+      replacement_refused_until(clock.Now()),
       opens_paused_until(clock.Now()) {}
 
 void ConnectionPool::Acquire(const LeaseRequest& request, LeaseCallback callback) {
@@ -23,15 +25,19 @@
   }
   const std::uint64_t waiter = this->next_number++;
   this->queue.SetParallelism(this->EffectiveLimit());
-  const QueueVerdict verdict =
-      this->queue.Push(QueueEntry{waiter, request.caller_group, request.weight, request.deadline});
+  const QueueTurn turn{request.caller_group,
+                       request.any_organisation ? std::string{} : request.organisation,
+                       request.any_organisation};
+  const QueueVerdict verdict = this->queue.Push(
+      QueueEntry{waiter, turn.caller_group, request.weight, request.deadline, turn.organisation,
+                 request.organisation_weight, turn.any_organisation});
   if (!verdict.accepted) {
     const LeaseStatus status =
         verdict.deadline_missed ? LeaseStatus::kDeadline : LeaseStatus::kQueueFull;
     callback(LeaseAnswer{status, {}, verdict.retry_after});
     return;
   }
-  this->waiting.emplace(waiter, Waiter{request.caller_group, std::move(callback), request.cost});
+  this->waiting.emplace(waiter, Waiter{turn, std::move(callback), request.cost});
   if (verdict.displaced) {
     this->Refuse(*verdict.displaced, LeaseStatus::kQueueFull, FairQueue::kMinRetryAfter);
   }
@@ -50,18 +56,15 @@
   }
   Connection& connection = found->second;
   this->queue.RecordServiceTime(this->clock.Now() - connection.leased_at);
-  const auto group = this->leases_by_group.find(connection.caller_group);
-  if (--group->second == 0) {
-    this->leases_by_group.erase(group);
-  }
+  this->CountHeld(connection.turn, -1);
   connection.lease = 0;
   connection.idle_since = this->clock.Now();
   const bool surplus = this->Total() > static_cast<std::size_t>(this->EffectiveLimit());
-  const bool usable = state == ConnectionState::kClean && !connection.closed_by_server;
+  const bool usable = state == ConnectionState::kClean && !connection.close_on_release;
   if (!usable || surplus || this->leaving) {
     this->Close(lease.connection);
   } else {
-    this->idle.push_back(lease.connection);
+    this->idle.Add(lease.connection, connection.organisation);
   }
   this->Dispatch();
 }
@@ -72,10 +75,10 @@
     return;
   }
   if (found->second.lease != 0) {
-    found->second.closed_by_server = true;
+    found->second.close_on_release = true;
     return;
   }
-  this->idle.erase(std::find(this->idle.begin(), this->idle.end(), connection));
+  this->idle.Remove(connection);
   this->Close(connection);
   this->Dispatch();
 }
@@ -88,16 +91,12 @@
 
 void ConnectionPool::CloseUnused(Duration limit) {
   const TimePoint now = this->clock.Now();
-  std::vector<ConnectionId> unused;
-  for (const ConnectionId connection : this->idle) {
+  for (const ConnectionId connection : this->idle.All()) {
     if (now - this->connections.at(connection).idle_since >= limit) {
-      unused.push_back(connection);
+      this->idle.Remove(connection);
+      this->Close(connection);
     }
   }
-  for (const ConnectionId connection : unused) {
-    this->idle.erase(std::find(this->idle.begin(), this->idle.end(), connection));
-    this->Close(connection);
-  }
 }
 
 void ConnectionPool::CloseSurplus(Duration window) {
@@ -106,29 +105,47 @@
     return;
   }
   const std::size_t closable = this->Total() - std::min<std::size_t>(this->Total(), 1);
-  std::size_t surplus = std::min(std::min(this->min_idle, this->idle.size()), closable);
-  for (; surplus > 0; --surplus) {
-    const ConnectionId connection = this->idle.front();
-    this->idle.erase(this->idle.begin());
+  for (const ConnectionId connection : this->idle.EndPeriod(closable)) {
     this->Close(connection);
   }
-  this->min_idle = this->idle.size();
   this->surplus_window_start = now;
 }
 
 void ConnectionPool::SetLeaving(bool value) {
   this->leaving = value;
   if (value) {
-    for (const ConnectionId connection : std::exchange(this->idle, {})) {
+    for (const ConnectionId connection : this->idle.All()) {
+      this->idle.Remove(connection);
       this->Close(connection);
     }
   }
   this->Dispatch();
 }
 
+void ConnectionPool::RetireOrganisation(const std::string& organisation) {
+  for (const ConnectionId connection : this->idle.Of(organisation)) {
+    this->idle.Remove(connection);
+    this->Close(connection);
+  }
+  for (auto& [id, connection] : this->connections) {
+    connection.close_on_release |= connection.organisation == organisation;
+  }
+  for (auto& [number, open] : this->opens) {
+    open.retired |= open.turn.organisation == organisation;
+  }
+  this->opens_by_organisation.erase(organisation);
+  this->Dispatch();
+}
+
+std::optional<std::string> ConnectionPool::OrganisationOf(ConnectionId connection) const {
+  const auto found = this->connections.find(connection);
+  return found == this->connections.end() ? std::nullopt
+                                          : std::make_optional(found->second.organisation);
+}
+
 int ConnectionPool::EffectiveLimit() const {
-  return this->InRefusalPause() ? std::min(this->limit, static_cast<int>(this->connections.size()))
-                                : this->limit;
+  const auto present = static_cast<int>(this->connections.size() + this->replacement_opens);
+  return this->InRefusalPause() ? std::min(this->limit, present) : this->limit;
 }
 
 // Callbacks may call the pool again. Such calls only request another pass of the loop, so that the
@@ -148,103 +165,184 @@
 }
 
 void ConnectionPool::GrantIdle() {
-  while (!this->idle.empty() && !this->leaving) {
-    const std::optional<QueueEntry> entry =
-        this->queue.Pop([this](const std::string& group) { return this->MayLease(group); });
-    if (!entry) {
+  while (!this->idle.Empty() && !this->leaving) {
+    const bool may_open = this->OpenAdmitted() && (this->HasRoom() || this->MayReplaceIdle());
+    const std::optional<QueueTurn> turn =
+        this->queue.Next([this](const std::string& group) { return this->MayLease(group); },
+                         [this, may_open](const std::string& organisation, bool any) {
+                           return (this->HasIdle(organisation, any) ||
+                                   (may_open && this->OpenNeeded(organisation))) &&
+                                  this->MayLease(organisation, any);
+                         });
+    if (!turn) {
       return;
     }
-    this->Grant(*entry);
+    if (this->HasIdle(turn->organisation, turn->any_organisation)) {
+      this->queue.Charge(*turn);
+      const QueueEntry entry = *this->queue.TakeCharged(*turn);
+      const std::string* organisation = entry.any_organisation ? nullptr : &entry.organisation;
+      this->Grant(entry, this->idle.Take(organisation, this->waiting.at(entry.id).cost));
+      continue;
+    }
+    const bool replacement = !this->HasRoom();
+    if (replacement) {
+      this->Close(this->idle.TakeOldest());
+    }
+    this->StartOpen(*turn, replacement);
   }
 }
 
-void ConnectionPool::Grant(const QueueEntry& entry) {
+// The only place that leases a connection.
+void ConnectionPool::Grant(const QueueEntry& entry, ConnectionId connection) {
   auto waiter = this->waiting.extract(entry.id);
-  const ConnectionId id = this->TakeIdle(waiter.mapped().cost);
-  Connection& connection = this->connections.at(id);
-  connection.lease = this->next_number++;
-  connection.caller_group = entry.caller_group;
-  connection.leased_at = this->clock.Now();
-  ++this->leases_by_group[entry.caller_group];
-  waiter.mapped().callback(LeaseAnswer{LeaseStatus::kGranted, Lease{id, connection.lease}, {}});
-}
-
-ConnectionId ConnectionPool::TakeIdle(const std::function<int(ConnectionId)>& cost) {
-  auto chosen = std::prev(this->idle.end());
-  if (cost) {
-    // From the last released to the first; of equal costs, the last released connection is chosen.
-    int lowest = cost(*chosen);
-    for (auto candidate = chosen; candidate != this->idle.begin() && lowest > 0;) {
-      --candidate;
-      const int value = cost(*candidate);
-      if (value < lowest) {
-        lowest = value;
-        chosen = candidate;
-      }
-    }
+  Connection& leased = this->connections.at(connection);
+  if (!entry.any_organisation && leased.organisation != entry.organisation) {
+    ++this->organisation_mismatches;
+    this->Close(connection);
+    waiter.mapped().callback(
+        LeaseAnswer{LeaseStatus::kConnectionRefused, {}, FairQueue::kMinRetryAfter});
+    return;
   }
-  const ConnectionId id = *chosen;
-  this->idle.erase(chosen);
-  this->min_idle = std::min(this->min_idle, this->idle.size());
-  return id;
+  leased.lease = this->next_number++;
+  leased.turn = waiter.mapped().turn;
+  leased.leased_at = this->clock.Now();
+  this->CountHeld(leased.turn, 1);
+  waiter.mapped().callback(LeaseAnswer{LeaseStatus::kGranted, Lease{connection, leased.lease}, {}});
+}
+
+bool ConnectionPool::HasIdle(const std::string& organisation, bool any_organisation) const {
+  return any_organisation ? !this->idle.Empty() : this->idle.Has(organisation);
+}
+
+bool ConnectionPool::OpenAdmitted() const {
+  const std::size_t concurrent = this->single_open_only ? 1 : kMaxConcurrentOpens;
+  return !this->leaving && this->opens.size() < concurrent &&
+         this->clock.Now() >= this->opens_paused_until;
+}
+
+bool ConnectionPool::OpenNeeded(const std::string& organisation) const {
+  const auto found = this->opens_by_organisation.find(organisation);
+  const std::size_t opening = found == this->opens_by_organisation.end() ? 0 : found->second;
+  // Requests for any organisation open a connection for none.
+  const std::size_t for_any = organisation.empty() ? this->queue.SizeForAny() : 0;
+  return opening < this->queue.Size(organisation) + for_any;
+}
+
+// After a failed open, one connection is replaced at a time, and after a refused replacement none
+// until the pause ends. Otherwise a server that admits no connections would cost all idle ones.
+bool ConnectionPool::MayReplaceIdle() const {
+  return !this->idle.Empty() && this->Total() <= static_cast<std::size_t>(this->EffectiveLimit()) &&
+         (this->last_open == OpenStatus::kOpened || this->opens.empty()) &&
+         this->clock.Now() >= this->replacement_refused_until;
+}
+
+bool ConnectionPool::BelowShare(const HeldConnections& held, const std::string& name) const {
+  const auto found = held.find(name);
+  return found == held.end() || found->second < std::max(this->EffectiveLimit() * 3 / 4, 1);
 }
 
 bool ConnectionPool::MayLease(const std::string& caller_group) const {
-  if (!this->queue.OthersWait(caller_group)) {
-    return true;
+  return !this->queue.OthersWait(caller_group) ||
+         this->BelowShare(this->held_by_group, caller_group);
+}
+
+// Organisations that wait only in groups that must wait themselves could not use the connection.
+bool ConnectionPool::MayLease(const std::string& organisation, bool any_organisation) const {
+  return any_organisation || this->BelowShare(this->held_by_organisation, organisation) ||
+         !this->queue.OtherOrganisationsWait(
+             organisation, [this](const std::string& group) { return this->MayLease(group); });
+}
+
+void ConnectionPool::CountHeld(const QueueTurn& turn, int change) {
+  const auto count = [change](HeldConnections& held, const std::string& name) {
+    const auto entry = held.try_emplace(name, 0).first;
+    entry->second += change;
+    if (entry->second == 0) {
+      held.erase(entry);
+    }
+  };
+  count(this->held_by_group, turn.caller_group);
+  if (!turn.any_organisation) {
+    count(this->held_by_organisation, turn.organisation);
   }
-  const int share = std::max(this->EffectiveLimit() * 3 / 4, 1);
-  const auto held = this->leases_by_group.find(caller_group);
-  return held == this->leases_by_group.end() || held->second < share;
 }
 
 void ConnectionPool::StartOpens() {
-  const std::size_t concurrent = this->single_open_only ? 1 : kMaxConcurrentOpens;
-  while (!this->leaving && this->opens.size() < concurrent &&
-         this->opens.size() < this->queue.Size() &&
-         this->Total() < static_cast<std::size_t>(this->EffectiveLimit()) &&
-         this->clock.Now() >= this->opens_paused_until) {
-    this->StartOpen();
+  while (this->OpenAdmitted() && this->HasRoom()) {
+    // If only one organisation waits, it does not matter for which group a connection is opened.
+    const std::optional<QueueTurn> turn = this->queue.Peek(
+        [this](const std::string& group) {
+          return !this->queue.SeveralOrganisationsWait() || this->MayLease(group);
+        },
+        [this](const std::string& organisation, bool any) {
+          return this->OpenNeeded(organisation) && this->MayLease(organisation, any);
+        });
+    if (!turn) {
+      return;
+    }
+    this->StartOpen(*turn, false);
   }
 }
 
-void ConnectionPool::StartOpen() {
-  const std::uint64_t open = this->next_number++;
-  this->opens.insert(open);
+// Opens are charged only while several organisations wait: a connection for the only one that waits
+// serves whichever group is next when it is open.
+void ConnectionPool::StartOpen(const QueueTurn& turn, bool replacement) {
+  const std::uint64_t number = this->next_number++;
+  const bool charged = this->queue.OtherOrganisationsWait(turn.organisation);
+  if (charged) {
+    this->queue.Charge(turn);
+    this->CountHeld(turn, 1);
+  }
+  this->opens.emplace(number, Open{turn, charged, replacement, false});
+  ++this->opens_by_organisation[turn.organisation];
+  this->replacement_opens += replacement ? 1 : 0;
   const std::weak_ptr<bool> guard = this->alive;
   const std::function<void(ConnectionId)> close = this->hooks.close;
-  this->RunLater(kOpenTimeout, [this, open] {
-    this->FinishOpen(open, OpenResult{OpenStatus::kUnreachable, 0});
+  this->RunLater(kOpenTimeout, [this, number] {
+    this->FinishOpen(number, OpenResult{OpenStatus::kUnreachable, 0});
   });
-  this->hooks.open("", [this, guard, open, close](const OpenResult& result) {
+  this->hooks.open(turn.organisation, [this, guard, number, close](const OpenResult& result) {
     if (!guard.expired()) {
-      this->FinishOpen(open, result);
+      this->FinishOpen(number, result);
     } else if (result.status == OpenStatus::kOpened) {
       close(result.connection);
     }
   });
 }
 
-void ConnectionPool::FinishOpen(std::uint64_t open, const OpenResult& result) {
-  const bool expected = this->opens.erase(open) != 0;
+void ConnectionPool::FinishOpen(std::uint64_t number, const OpenResult& result) {
+  const auto finished = this->opens.extract(number);
   const bool opened = result.status == OpenStatus::kOpened;
-  if (!expected) {
+  if (finished.empty()) {
     // The answer of a timed-out open, or a second answer.
     if (opened && this->connections.count(result.connection) == 0) {
       this->hooks.close(result.connection);
     }
     return;
   }
+  const Open& open = finished.mapped();
+  const std::string& organisation = open.turn.organisation;
+  if (open.charged) {
+    this->CountHeld(open.turn, -1);
+  }
+  this->replacement_opens -= open.replacement ? 1 : 0;
+  if (!open.retired && --this->opens_by_organisation.at(organisation) == 0) {
+    this->opens_by_organisation.erase(organisation);
+  }
   this->last_open = result.status;
   this->single_open_only = result.status == OpenStatus::kRefused;
-  if (opened) {
+  if (opened && open.retired) {
+    this->hooks.close(result.connection);
+  } else if (opened) {
     Connection connection;
+    connection.organisation = organisation;
     connection.idle_since = this->clock.Now();
     this->connections.emplace(result.connection, connection);
-    this->idle.push_back(result.connection);
+    this->idle.Add(result.connection, organisation);
     this->CloseSurplusIdle();
+    this->GrantOpened(open, result.connection);
   } else if (result.status == OpenStatus::kRefused) {
-    this->PauseAfterRefusal();
+    this->PauseAfterRefusal(open.replacement);
   } else {
     this->opens_paused_until = this->clock.Now() + kUnreachablePause;
     this->RunLater(kUnreachablePause, [this] { this->Dispatch(); });
@@ -252,19 +350,49 @@
   this->Dispatch();
 }
 
+// While several organisations wait, a new connection is leased to the turn or at least to the
+// organisation for which it was opened. In the order of the queue, another organisation could
+// replace it before it is used, and the two would close each other's connections for ever.
+void ConnectionPool::GrantOpened(const Open& open, ConnectionId connection) {
+  if (!this->idle.Contains(connection)) {
+    return;
+  }
+  std::optional<QueueEntry> entry;
+  if (open.charged) {
+    entry = this->queue.TakeCharged(open.turn);
+  }
+  if (!entry && this->queue.OtherOrganisationsWait(open.turn.organisation)) {
+    const std::optional<QueueTurn> turn =
+        this->queue.Peek([this](const std::string& group) { return this->MayLease(group); },
+                         [this, &open](const std::string& organisation, bool any) {
+                           return !any && organisation == open.turn.organisation &&
+                                  this->MayLease(organisation, any);
+                         });
+    if (turn) {
+      this->queue.Charge(*turn);
+      entry = this->queue.TakeCharged(*turn);
+    }
+  }
+  if (entry) {
+    this->idle.Remove(connection);
+    this->Grant(*entry, connection);
+  }
+}
+
 // The open connections are kept: the server has reached its cap and would not admit others in their
 // place.
-void ConnectionPool::PauseAfterRefusal() {
+void ConnectionPool::PauseAfterRefusal(bool replacement) {
   this->refused_until = this->clock.Now() + kRefusalPause;
+  if (replacement) {
+    this->replacement_refused_until = this->refused_until;
+  }
   this->RunLater(kRefusalPause, [this] { this->Dispatch(); });
 }
 
 void ConnectionPool::CloseSurplusIdle() {
   const auto allowed = static_cast<std::size_t>(this->leaving ? 0 : this->EffectiveLimit());
-  while (!this->idle.empty() && this->Total() > allowed) {
-    const ConnectionId connection = this->idle.front();
-    this->idle.erase(this->idle.begin());
-    this->Close(connection);
+  while (!this->idle.Empty() && this->Total() > allowed) {
+    this->Close(this->idle.TakeOldest());
   }
 }
 
@@ -294,7 +422,7 @@
   if (found.empty()) {
     return;
   }
-  this->queue.Remove(found.mapped().caller_group, waiter);
+  this->queue.Remove(found.mapped().turn, waiter);
   found.mapped().callback(LeaseAnswer{status, {}, retry_after});
 }
 
--- a/src/pool/fair_queue_test.cc
+++ b/src/pool/fair_queue_test.cc
@@ -93,8 +93,8 @@
   this->Push("orders");
   this->Push("stock");
   EXPECT_TRUE(this->queue.OthersWait("orders"));
-  EXPECT_TRUE(this->queue.Remove("orders", 1));
-  EXPECT_FALSE(this->queue.Remove("orders", 1));
+  EXPECT_TRUE(this->queue.Remove(QueueTurn{"orders", "", false}, 1));
+  EXPECT_FALSE(this->queue.Remove(QueueTurn{"orders", "", false}, 1));
   EXPECT_TRUE(this->queue.OthersWait("orders"));
   EXPECT_FALSE(this->queue.OthersWait("stock"));
   EXPECT_FALSE(this->queue.Pop([](const std::string& group) { return group == "orders"; }));
@@ -102,5 +102,79 @@
   EXPECT_FALSE(this->queue.Pop(AnyGroup));
 }
 
+class OrganisationQueueTest : public FairQueueTest {
+ protected:
+  QueueVerdict PushFor(const std::string& group, const std::string& organisation, int weight = 1,
+                       int organisation_weight = 1, Duration remaining = seconds(2)) {
+    return this->queue.Push(QueueEntry{this->next_id++, group, weight,
+                                       this->clock.Now() + remaining, organisation,
+                                       organisation_weight});
+  }
+};
+
+// Guards against organisations that change the share of their route, and against an organisation
+// that gets a share of it other than its weight.
+TEST_F(OrganisationQueueTest, ServesRoutesAndOrganisationsByWeight) {
+  for (int i = 0; i < 4; ++i) {
+    this->PushFor("place", "a", 2, 1);
+  }
+  this->PushFor("place", "b", 2, 3);
+  this->PushFor("place", "b", 2, 3);
+  this->PushFor("stock", "c");
+  this->PushFor("stock", "d");
+  std::string order;
+  while (const auto entry = this->queue.Pop(AnyGroup)) {
+    order += entry->organisation;
+  }
+  EXPECT_EQ(order, "abcbadaa");
+}
+
+// Guards against an organisation that loses its place because it could not be served for a moment.
+TEST_F(OrganisationQueueTest, SkippedOrganisationKeepsItsPlace) {
+  for (const char* const organisation : {"a", "b", "c"}) {
+    this->PushFor("place", organisation);
+    this->PushFor("place", organisation);
+  }
+  const auto next = [this](const std::string& except) {
+    return this->queue
+        .Next(AnyGroup, [&except](const std::string& name, bool) { return name != except; })
+        ->organisation;
+  };
+  EXPECT_EQ(next("a"), "b");
+  this->queue.Charge(QueueTurn{"place", "b", false});
+  EXPECT_EQ(this->queue.TakeCharged(QueueTurn{"place", "b", false})->id, 3u);
+  EXPECT_EQ(next("a"), "c");
+  EXPECT_EQ(next(""), "a");
+}
+
+// Guards against the displacement of small organisations by one that fills the queue, also from
+// another route.
+TEST_F(OrganisationQueueTest, FullQueueDisplacesTheOrganisationWithTheMostEntries) {
+  for (int i = 0; i < 3; ++i) {
+    this->PushFor("place", "small" + std::to_string(i));
+  }
+  for (int i = 0; i < 5; ++i) {
+    EXPECT_TRUE(this->PushFor("stock", "large", 8).accepted);
+  }
+  EXPECT_FALSE(this->PushFor("stock", "large", 8).accepted);
+  EXPECT_EQ(this->PushFor("place", "small3").displaced, 8u);
+  EXPECT_EQ(this->PushFor("stock", "small4", 8).displaced, 7u);
+  EXPECT_EQ(this->queue.Size("large"), 3u);
+  EXPECT_FALSE(this->PushFor("place", "large").accepted);
+  EXPECT_EQ(this->queue.Size("large"), 3u);
+}
+
+// Guards against the refusal of a small organisation because of the entries of a large one, which
+// are not served before it.
+TEST_F(OrganisationQueueTest, EstimatedWaitCountsOneRoundOfOtherOrganisations) {
+  this->queue.RecordServiceTime(milliseconds(100));
+  for (int i = 0; i < 6; ++i) {
+    this->PushFor("place", "large");
+  }
+  EXPECT_TRUE(this->PushFor("place", "small", 1, 1, milliseconds(100)).accepted);
+  EXPECT_FALSE(this->PushFor("place", "small", 1, 1, milliseconds(250)).accepted);
+  EXPECT_TRUE(this->PushFor("place", "small", 1, 1, milliseconds(300)).accepted);
+}
+
 }  // namespace
 }  // namespace sycamoredrum
