Let position queries use a connection of any organisation

Cause: a query for the primary's position runs for the relay itself. With connections by organisation it would open, or replace, one of its own.

Change: QueryPosition sets any_organisation.

--- a/src/relay/session_relay.cc
+++ b/src/relay/session_relay.cc
@@ -271,6 +271,7 @@
   request.caller_group = "position";
   request.weight = kPositionQueryWeight;
   request.deadline = *until;
+  request.any_organisation = true;
   this->Acquire(
       *server, request,
       [this, weak = std::weak_ptr<bool>(this->alive), database, grant](const LeaseAnswer& answer) {
