Stand-in for connections by organisation in the pool

Cause: the tests of the sessions' organisations need a pool that opens connections for an organisation and leases them to it only.

Change: the pool appends the organisation to the caller group of its queue, filters idle connections by it and can retire an organisation.

--- a/src/include/sycamoredrum/connection_pool.h
+++ b/src/include/sycamoredrum/connection_pool.h
@@ -129,6 +129,9 @@
   /// against the server's cap until the server notices, while the restarted process needs new ones.
   void CloseSurplus(Duration window);
 
+  /// Closes the idle connections of the organisation, and its leased ones when they are released.
+  void RetireOrganisation(const std::string& organisation);
+
   /// While set, no lease is granted, waiting requests are refused and connections are closed as
   /// soon as they are released.
   void SetLeaving(bool value);
@@ -147,12 +150,15 @@
   struct Connection {
     std::uint64_t lease = 0;  ///< Number of the present lease; 0: idle.
     std::string caller_group;
+    std::string organisation = {};
     TimePoint leased_at;
     TimePoint idle_since;
     bool closed_by_server = false;
+    bool retired = false;  ///< To be closed when it is released.
   };
   struct Waiter {
     std::string caller_group;
+    std::string organisation;
     LeaseCallback callback;
     std::function<int(ConnectionId)> cost;
   };
@@ -160,10 +166,13 @@
   void Dispatch();
   void GrantIdle();
   void Grant(const QueueEntry& entry);
-  ConnectionId TakeIdle(const std::function<int(ConnectionId)>& cost);
+  ConnectionId TakeIdle(const std::string& organisation,
+                        const std::function<int(ConnectionId)>& cost);
+  bool HasIdle(const std::string& organisation) const;
+  void CloseIdleOfOthers(const std::string& organisation);
   void StartOpens();
   void StartOpen();
-  void FinishOpen(std::uint64_t open, const OpenResult& result);
+  void FinishOpen(std::uint64_t open, const std::string& organisation, const OpenResult& result);
   void RefuseWithoutConnections();
   void RefuseAll(LeaseStatus status, Duration retry_after);
   void Refuse(std::uint64_t waiter, LeaseStatus status, Duration retry_after);
--- a/src/pool/connection_pool.cc
+++ b/src/pool/connection_pool.cc
@@ -4,6 +4,24 @@
 #include <utility>
 
 namespace sycamoredrum {
+namespace {
+
+// The queue knows caller groups only. Appending the organisation makes each pair a group of its
+// own.
+constexpr char kOrganisationSeparator = '\n';
+
+std::string QueueGroup(const LeaseRequest& request) {
+  return request.organisation.empty()
+             ? request.caller_group
+             : request.caller_group + kOrganisationSeparator + request.organisation;
+}
+
+std::string OrganisationOf(const std::string& group) {
+  const std::size_t separator = group.find(kOrganisationSeparator);
+  return separator == std::string::npos ? "" : group.substr(separator + 1);
+}
+
+}  // namespace
 
 ConnectionPool::ConnectionPool(ConnectionPoolHooks hooks, int limit, const Clock& clock,
                                Scheduler& scheduler, std::size_t max_waiting)
@@ -23,15 +41,17 @@
   }
   const std::uint64_t waiter = this->next_number++;
   this->queue.SetParallelism(this->EffectiveLimit());
+  const std::string group = QueueGroup(request);
   const QueueVerdict verdict =
-      this->queue.Push(QueueEntry{waiter, request.caller_group, request.weight, request.deadline});
+      this->queue.Push(QueueEntry{waiter, group, request.weight, request.deadline});
   if (!verdict.accepted) {
     const LeaseStatus status =
         verdict.deadline_missed ? LeaseStatus::kDeadline : LeaseStatus::kQueueFull;
     callback(LeaseAnswer{status, {}, verdict.retry_after});
     return;
   }
-  this->waiting.emplace(waiter, Waiter{request.caller_group, std::move(callback), request.cost});
+  this->waiting.emplace(waiter,
+                        Waiter{group, request.organisation, std::move(callback), request.cost});
   if (verdict.displaced) {
     this->Refuse(*verdict.displaced, LeaseStatus::kQueueFull, FairQueue::kMinRetryAfter);
   }
@@ -57,7 +77,8 @@
   connection.lease = 0;
   connection.idle_since = this->clock.Now();
   const bool surplus = this->Total() > static_cast<std::size_t>(this->EffectiveLimit());
-  const bool usable = state == ConnectionState::kClean && !connection.closed_by_server;
+  const bool usable =
+      state == ConnectionState::kClean && !connection.closed_by_server && !connection.retired;
   if (!usable || surplus || this->leaving) {
     this->Close(lease.connection);
   } else {
@@ -116,6 +137,21 @@
   this->surplus_window_start = now;
 }
 
+void ConnectionPool::RetireOrganisation(const std::string& organisation) {
+  for (auto& [id, connection] : this->connections) {
+    connection.retired = connection.retired || connection.organisation == organisation;
+  }
+  const auto retired =
+      std::stable_partition(this->idle.begin(), this->idle.end(),
+                            [this](ConnectionId id) { return !this->connections.at(id).retired; });
+  const std::vector<ConnectionId> closing(retired, this->idle.end());
+  this->idle.erase(retired, this->idle.end());
+  for (const ConnectionId id : closing) {
+    this->Close(id);
+  }
+  this->Dispatch();
+}
+
 void ConnectionPool::SetLeaving(bool value) {
   this->leaving = value;
   if (value) {
@@ -160,7 +196,7 @@
 
 void ConnectionPool::Grant(const QueueEntry& entry) {
   auto waiter = this->waiting.extract(entry.id);
-  const ConnectionId id = this->TakeIdle(waiter.mapped().cost);
+  const ConnectionId id = this->TakeIdle(waiter.mapped().organisation, waiter.mapped().cost);
   Connection& connection = this->connections.at(id);
   connection.lease = this->next_number++;
   connection.caller_group = entry.caller_group;
@@ -169,13 +205,37 @@
   waiter.mapped().callback(LeaseAnswer{LeaseStatus::kGranted, Lease{id, connection.lease}, {}});
 }
 
-ConnectionId ConnectionPool::TakeIdle(const std::function<int(ConnectionId)>& cost) {
+bool ConnectionPool::HasIdle(const std::string& organisation) const {
+  return std::any_of(this->idle.begin(), this->idle.end(), [&](ConnectionId id) {
+    return this->connections.at(id).organisation == organisation;
+  });
+}
+
+void ConnectionPool::CloseIdleOfOthers(const std::string& organisation) {
+  const auto found = std::find_if(this->idle.begin(), this->idle.end(), [&](ConnectionId id) {
+    return this->connections.at(id).organisation != organisation;
+  });
+  if (found != this->idle.end()) {
+    const ConnectionId id = *found;
+    this->idle.erase(found);
+    this->Close(id);
+  }
+}
+
+ConnectionId ConnectionPool::TakeIdle(const std::string& organisation,
+                                      const std::function<int(ConnectionId)>& cost) {
   auto chosen = std::prev(this->idle.end());
+  while (this->connections.at(*chosen).organisation != organisation) {
+    --chosen;
+  }
   if (cost) {
     // From the last released to the first; of equal costs, the last released connection is chosen.
     int lowest = cost(*chosen);
     for (auto candidate = chosen; candidate != this->idle.begin() && lowest > 0;) {
       --candidate;
+      if (this->connections.at(*candidate).organisation != organisation) {
+        continue;
+      }
       const int value = cost(*candidate);
       if (value < lowest) {
         lowest = value;
@@ -190,6 +250,9 @@
 }
 
 bool ConnectionPool::MayLease(const std::string& caller_group) const {
+  if (!this->HasIdle(OrganisationOf(caller_group))) {
+    return false;
+  }
   if (!this->queue.OthersWait(caller_group)) {
     return true;
   }
@@ -199,6 +262,11 @@
 }
 
 void ConnectionPool::StartOpens() {
+  const std::string organisation =
+      this->waiting.empty() ? "" : this->waiting.begin()->second.organisation;
+  if (!this->waiting.empty() && this->Total() >= static_cast<std::size_t>(this->EffectiveLimit())) {
+    this->CloseIdleOfOthers(organisation);
+  }
   const std::size_t concurrent = this->single_open_only ? 1 : kMaxConcurrentOpens;
   while (!this->leaving && this->opens.size() < concurrent &&
          this->opens.size() < this->queue.Size() &&
@@ -213,19 +281,23 @@
   this->opens.insert(open);
   const std::weak_ptr<bool> guard = this->alive;
   const std::function<void(ConnectionId)> close = this->hooks.close;
-  this->RunLater(kOpenTimeout, [this, open] {
-    this->FinishOpen(open, OpenResult{OpenStatus::kUnreachable, 0});
-  });
-  this->hooks.open("", [this, guard, open, close](const OpenResult& result) {
-    if (!guard.expired()) {
-      this->FinishOpen(open, result);
-    } else if (result.status == OpenStatus::kOpened) {
-      close(result.connection);
-    }
+  const std::string organisation =
+      this->waiting.empty() ? "" : this->waiting.begin()->second.organisation;
+  this->RunLater(kOpenTimeout, [this, open, organisation] {
+    this->FinishOpen(open, organisation, OpenResult{OpenStatus::kUnreachable, 0});
   });
+  this->hooks.open(organisation,
+                   [this, guard, open, close, organisation](const OpenResult& result) {
+                     if (!guard.expired()) {
+                       this->FinishOpen(open, organisation, result);
+                     } else if (result.status == OpenStatus::kOpened) {
+                       close(result.connection);
+                     }
+                   });
 }
 
-void ConnectionPool::FinishOpen(std::uint64_t open, const OpenResult& result) {
+void ConnectionPool::FinishOpen(std::uint64_t open, const std::string& organisation,
+                                const OpenResult& result) {
   const bool expected = this->opens.erase(open) != 0;
   const bool opened = result.status == OpenStatus::kOpened;
   if (!expected) {
@@ -239,6 +311,7 @@
   this->single_open_only = result.status == OpenStatus::kRefused;
   if (opened) {
     Connection connection;
+    connection.organisation = organisation;
     connection.idle_since = this->clock.Now();
     this->connections.emplace(result.connection, connection);
     this->idle.push_back(result.connection);
