--- a/src/include/sycamoredrum/relay_platform.h
+++ b/src/include/sycamoredrum/relay_platform.h
@@ -53,9 +53,10 @@
   std::string configuration_key;  ///< Store key of the latest configuration.
   std::string servers_prefix;     ///< Prefix of the store keys of the backend servers' records.
   std::string ready_path;         ///< HTTP path of the load balancer's readiness check.
-  /// This and `decode_server` return nothing and set `reason` if the text is invalid.
-  std::function<std::shared_ptr<const RelayConfiguration>(const std::string& text,
-                                                          std::string& reason)>
+  /// This and `decode_server` return nothing and set `reason` if the text is invalid. `previous` is
+  /// the directory of organisations in use, or null.
+  std::function<std::shared_ptr<const RelayConfiguration>(
+      const std::string& text, std::string& reason, const OrganisationDirectory* previous)>
       decode_configuration;
   std::function<std::optional<BackendServerRecord>(const KeyValue& item, std::string& reason)>
       decode_server;
--- a/src/relay_daemon/relay_daemon.cc
+++ b/src/relay_daemon/relay_daemon.cc
@@ -2,6 +2,7 @@
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_replace.h>
 
 #include <algorithm>
 #include <csignal>
@@ -15,6 +16,7 @@
 #include "sycamoredrum/boottime_clock.h"
 #include "sycamoredrum/byte_stream.h"
 #include "sycamoredrum/http.h"
+#include "sycamoredrum/organisation_directory.h"
 
 namespace sycamoredrum {
 namespace {
@@ -115,6 +117,9 @@
   bool Start();
   bool Listen();
   void ApplyConfiguration(const std::string& text, const std::string& source);
+  void LogOrganisationFindings(const RelayConfiguration& configuration);
+  /// With organisations, logs at most one refused session per second.
+  void LogRefusedSession(const SessionRequest& request, const StatementError& refusal);
   void AcceptCaller(std::shared_ptr<ByteStream> stream);
   bool Ready() const;
   void Tick();
@@ -145,6 +150,8 @@
   std::map<std::uint64_t, std::shared_ptr<CallerConnection>> callers;
   std::uint64_t next_caller = 1;
   std::string configuration_text;
+  TimePoint next_refused_session_log;
+  std::size_t unlogged_refused_sessions = 0;  ///< Since the last one that was logged.
   TimePoint started;
   TimePoint last_settings_check;
   std::optional<TimePoint> stopping_since;
@@ -337,12 +344,14 @@
 
 void RelayDaemon::State::ApplyConfiguration(const std::string& text, const std::string& source) {
   std::string reason;
-  const auto configuration = this->platform.decode_configuration(text, reason);
+  const auto present_configuration = this->relay.Configuration();
+  const auto configuration =
+      this->platform.decode_configuration(text, reason, present_configuration->organisations.get());
   if (!configuration) {
     this->logger.Error("configuration_unreadable", {{"source", source}, {"reason", reason}});
     return;
   }
-  const std::uint64_t present = this->relay.Configuration()->version;
+  const std::uint64_t present = present_configuration->version;
   if (configuration->version <= present) {
     return;
   }
@@ -359,6 +368,46 @@
                      {"previous", absl::StrCat(present)},
                      {"routes", absl::StrCat(configuration->routes.size())},
                      {"source", source}});
+  this->LogOrganisationFindings(*configuration);
+}
+
+void RelayDaemon::State::LogOrganisationFindings(const RelayConfiguration& configuration) {
+  if (!configuration.organisations || configuration.organisations->Findings().empty()) {
+    return;
+  }
+  // Bounds the line; there may be thousands of organisations.
+  constexpr std::size_t kMaxLogged = 20;
+  const std::vector<Finding>& findings = configuration.organisations->Findings();
+  Findings logged;
+  for (std::size_t i = 0; i < std::min(findings.size(), kMaxLogged); ++i) {
+    logged.Add(findings[i].place, findings[i].reason);
+  }
+  this->logger.Warning("organisation_findings",
+                       {{"version", absl::StrCat(configuration.version)},
+                        {"findings", absl::StrCat(findings.size())},
+                        {"first", absl::StrReplaceAll(logged.ToString(), {{"\n", "; "}})}});
+}
+
+void RelayDaemon::State::LogRefusedSession(const SessionRequest& request,
+                                           const StatementError& refusal) {
+  const auto configuration = this->relay.Configuration();
+  std::string route = request.route;
+  if (configuration->organisations) {
+    if (this->clock.Now() < this->next_refused_session_log) {
+      ++this->unlogged_refused_sessions;
+      return;
+    }
+    this->next_refused_session_log = this->clock.Now() + std::chrono::seconds(1);
+    // A caller may have sent its key in place of the route.
+    route = configuration->routes.count(route) == 0 ? "not known" : route;
+  }
+  std::vector<LogField> fields = {{"route", route},
+                                  {"configuration", absl::StrCat(configuration->version)},
+                                  {"reason", refusal.message}};
+  if (const std::size_t unlogged = std::exchange(this->unlogged_refused_sessions, 0)) {
+    fields.push_back({"others_before", absl::StrCat(unlogged)});
+  }
+  this->logger.Warning("session_refused", std::move(fields));
 }
 
 void RelayDaemon::State::AcceptCaller(std::shared_ptr<ByteStream> stream) {
@@ -375,11 +424,7 @@
       [this](const SessionRequest& request, CallerSessionHooks hooks) {
         OpenedSession opened = this->relay.Open(request, std::move(hooks));
         if (!opened.session) {
-          this->logger.Warning(
-              "session_refused",
-              {{"route", request.route},
-               {"configuration", absl::StrCat(this->relay.Configuration()->version)},
-               {"reason", opened.refusal.message}});
+          this->LogRefusedSession(request, opened.refusal);
         }
         return opened;
       },
