Serve callers' sessions for the organisation of their key

Cause: every caller is served, whatever its key, and all share the connections to backend servers.

Change: SessionRelay::Open refuses unknown keys with kUnauthenticated. A statement that was sent keeps its organisation until its result. Leases name the organisation and its weight. A session refuses to use a connection of another organisation and logs an error. Pools retire the connections of organisations that have ended. SessionRelayHooks::admit decides on each operation once, and again if its key moves to another organisation while it waits. Without organisations, all this is skipped.

--- a/src/include/sycamoredrum/session_relay.h
+++ b/src/include/sycamoredrum/session_relay.h
@@ -27,7 +27,7 @@
 struct CallerSessionHooks {
   /// Sends the answer to the oldest statement that has none yet.
   std::function<void(const StatementResult&)> reply;
-  /// Closes the caller's connection.
+  /// Closes the caller's connection after its buffered output.
   std::function<void()> close;
 };
 
@@ -145,6 +145,8 @@
   SessionRelay(const SessionRelay&) = delete;
   SessionRelay& operator=(const SessionRelay&) = delete;
 
+  /// Replaces the configuration. Sessions whose key is no longer known are closed, idle ones within
+  /// 500 ms; sessions whose key was moved to another organisation continue for that one.
   void SetConfiguration(std::shared_ptr<const RelayConfiguration> configuration);
   /// Adds a backend server or sets its record. Closes the connections to a server whose endpoint,
   /// database or start time changed.
@@ -169,7 +171,8 @@
   std::optional<PositionObservation> NewestPosition(const std::string& database,
                                                     std::uint64_t generation) const;
 
-  /// Opens a session. It is refused with kUnknownDatabase if the configuration has no such route.
+  /// Opens a session. It is refused with kUnknownDatabase if the configuration has no such route,
+  /// and with kUnauthenticated if the route requires a key and the caller's is not known.
   OpenedSession Open(const SessionRequest& request, CallerSessionHooks hooks);
 
   /// Retries reads that wait for an unresponsive server, ends idle transactions, updates the moving
--- a/src/relay/backend_session.cc
+++ b/src/relay/backend_session.cc
@@ -6,8 +6,8 @@
 
 namespace sycamoredrum {
 
-BackendSession::BackendSession(std::shared_ptr<BackendChannel> channel)
-    : channel(std::move(channel)) {}
+BackendSession::BackendSession(std::shared_ptr<BackendChannel> channel, std::string organisation)
+    : channel(std::move(channel)), organisation(std::move(organisation)) {}
 
 // The protocol cannot unset a single variable, so a variable that `profile` lacks requires a reset.
 bool BackendSession::NeedsReset(const SessionProfile& profile) const {
--- a/src/relay/backend_session.h
+++ b/src/relay/backend_session.h
@@ -43,7 +43,8 @@
   /// use.
   static constexpr std::size_t kMaxPrepared = 200;
 
-  explicit BackendSession(std::shared_ptr<BackendChannel> channel);
+  /// `organisation` is the one for which the connection was opened; empty if there is none.
+  explicit BackendSession(std::shared_ptr<BackendChannel> channel, std::string organisation = {});
 
   /// Number of statements, a reset included, that PrepareFor would send to set the variables of
   /// `profile`; 0 if they are set already.
@@ -67,6 +68,9 @@
   /// Handles the end of the connection: calls back all statements without a result with nothing.
   void OnClosed();
 
+  /// The only organisation whose statements may run on the connection; empty if there is none.
+  const std::string& Organisation() const { return this->organisation; }
+
   /// True if the connection has ended or its state is unknown. It must not be used any more.
   bool Broken() const { return this->broken; }
   /// Number of statements without a result.
@@ -83,6 +87,7 @@
   void RecordSetup(const Statement& statement);
 
   std::shared_ptr<BackendChannel> channel;
+  const std::string organisation;
   std::map<std::string, std::string> variables;
   std::map<PreparedStatement, std::string> prepared;  ///< Name on this connection.
   std::deque<ResultCallback> pending;  ///< Of the statements without a result, oldest first.
--- a/src/relay/caller_session.cc
+++ b/src/relay/caller_session.cc
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include "sycamoredrum/organisation_directory.h"
+
 namespace sycamoredrum {
 namespace {
 
@@ -12,11 +14,14 @@
 
 }  // namespace
 
-RelayCallerSession::RelayCallerSession(SessionRelay::Impl& relay, std::string route_name,
-                                       CallerSessionHooks hooks)
+// A longer key can never become known, so it is not kept.
+RelayCallerSession::RelayCallerSession(SessionRelay::Impl& relay, const SessionRequest& request,
+                                       SessionIdentity identity, CallerSessionHooks hooks)
     : relay(relay),
       relay_alive(relay.alive),
-      route_name(std::move(route_name)),
+      route_name(request.route),
+      key(request.key.size() <= OrganisationDirectory::kMaxKeyBytes ? request.key : ""),
+      identity(std::move(identity)),
       hooks(std::move(hooks)),
       last_activity(relay.clock.Now()) {
   this->relay.sessions.insert(this);
@@ -30,7 +35,7 @@
 }
 
 void RelayCallerSession::Handle(Statement statement) {
-  if (this->caller_disconnected) {
+  if (this->caller_disconnected || this->closing) {
     return;
   }
   if (this->active || this->starting || !this->queue.empty()) {
@@ -61,6 +66,11 @@
 void RelayCallerSession::StartStatement(Statement statement) {
   this->starting = true;
   this->last_activity = this->Now();
+  if (this->RefuseForIdentity(statement)) {
+    this->starting = false;
+    this->StartNextStatement();
+    return;
+  }
   switch (statement.kind) {
     case StatementKind::kBegin:
     case StatementKind::kBeginReadOnly:
@@ -105,8 +115,16 @@
   // The transaction is begun on a backend server only with its first statement, so that it occupies
   // no connection until the caller has sent that statement.
   this->route = found->second;
+  if (!this->NeedsAdmission()) {
+    this->OpenTransaction(statement.kind);
+  } else if (this->Activate(statement)) {
+    this->Admit();
+  }
+}
+
+void RelayCallerSession::OpenTransaction(StatementKind kind) {
   this->transaction = TransactionState::kOpen;
-  this->read_only = statement.kind == StatementKind::kBeginReadOnly;
+  this->read_only = kind == StatementKind::kBeginReadOnly;
   this->wrote = false;
   this->ReplySuccess();
 }
@@ -179,6 +197,17 @@
     }
     this->route = found->second;
   }
+  if (!this->Activate(std::move(statement))) {
+    return;
+  }
+  if (this->transaction == TransactionState::kNone) {
+    this->Admit();
+  } else {
+    this->Dispatch();
+  }
+}
+
+bool RelayCallerSession::Activate(Statement statement) {
   ActiveStatement next;
   next.statement = std::move(statement);
   next.arrived = this->Now();
@@ -192,15 +221,19 @@
                        read_write_transaction || this->Writes(next.statement);
   next.number = this->next_statement_number++;
   this->active = std::move(next);
-  this->RunLater(limit, [this] {
-    this->EndStatement(this->active->sent ? "no answer within the statement's time limit"
-                                          : "no server could take the statement in time");
-  });
+  this->ArmStatementTimeout();
   if (this->relay.refusal_reason) {
     this->EndStatement(*this->relay.refusal_reason);
-    return;
+    return false;
   }
-  this->Dispatch();
+  return true;
+}
+
+void RelayCallerSession::ArmStatementTimeout() {
+  this->RunLater(this->active->deadline - this->Now(), [this] {
+    this->EndStatement(this->active->sent ? "no answer within the statement's time limit"
+                                          : "no server could take the statement in time");
+  });
 }
 
 void RelayCallerSession::RunLater(Duration delay, std::function<void()> action) {
@@ -239,14 +272,24 @@
     return;
   }
   this->hooks.reply(result);
+  this->UpdateIdentityAfterReply();
   this->StartNextStatement();
 }
 
 void RelayCallerSession::LogOutcome(const StatementResult& result) const {
+  const StatementKind kind = this->active->statement.kind;
+  const bool begin = kind == StatementKind::kBegin || kind == StatementKind::kBeginReadOnly;
+  if (begin && !result.error) {
+    return;
+  }
   const Duration elapsed = this->Now() - this->active->arrived;
   const std::string outcome =
       result.error ? std::string(ToString(result.error->code)) : std::string("result");
   this->relay.RecordStatement(this->route_name, outcome, elapsed);
+  if (this->active->rate_limited) {
+    // Not logged one by one: an organisation above its limit causes hundreds of refusals a second.
+    return;
+  }
   const bool slow = elapsed > this->route.latency_objective;
   // The metrics count all successes, so only one in this number is logged.
   constexpr std::uint64_t kSuccessSample = 64;
--- a/src/relay/caller_session.h
+++ b/src/relay/caller_session.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "relay_state.h"
+#include "session_organisation.h"
 
 namespace sycamoredrum {
 
@@ -15,7 +16,8 @@
 class RelayCallerSession : public CallerSession,
                            public std::enable_shared_from_this<RelayCallerSession> {
  public:
-  RelayCallerSession(SessionRelay::Impl& relay, std::string route_name, CallerSessionHooks hooks);
+  RelayCallerSession(SessionRelay::Impl& relay, const SessionRequest& request,
+                     SessionIdentity identity, CallerSessionHooks hooks);
   ~RelayCallerSession() override;
 
   void Handle(Statement statement) override;
@@ -36,6 +38,10 @@
   }
   /// True if a statement is in progress.
   bool Busy() const { return this->active.has_value(); }
+  /// Looks the key up in the present configuration and ends or restarts what may not continue under
+  /// the new identity. If the statement in progress was sent, this happens after its result.
+  /// Returns true if the statement in progress was answered or started again.
+  bool UpdateIdentity();
 
  private:
   /// Delay before a retry at a server that is not the primary yet or lacks the required position.
@@ -60,8 +66,9 @@
     std::string last_failure;     ///< Why the last attempt ended without an answer.
     std::set<std::string> tried;  ///< Servers that are excluded from the next choice.
     bool needs_primary = false;
-    bool suspended = false;  ///< Waits for a primary or a log position; see ResumeDispatch.
-    bool sent = false;       ///< The statement itself, not only its setup, was sent.
+    bool suspended = false;     ///< Waits for a primary or a log position; see ResumeDispatch.
+    bool sent = false;          ///< The statement itself, not only its setup, was sent.
+    bool rate_limited = false;  ///< Refused by SessionRelayHooks::admit.
     TimePoint sent_at;
     std::string server;                 ///< Server that it was last sent to.
     std::optional<PrimaryGrant> grant;  ///< Grant under which it was last sent.
@@ -79,12 +86,39 @@
   /// Handles a statement while none is in progress.
   void StartStatement(Statement statement);
   void HandleBegin(const Statement& statement);
+  /// Opens the transaction and answers its begin, `kind`.
+  void OpenTransaction(StatementKind kind);
   void HandleCommit(Statement statement);
   void HandleRollback();
   /// Sets a variable, or defines or removes a prepared statement, in the profile.
   void HandleProfileChange(const Statement& statement);
-  /// Makes `statement` the active statement and dispatches it.
+  /// Makes `statement` the active statement and, once it is admitted, dispatches it.
   void Forward(Statement statement);
+  /// Makes `statement` the active statement. Returns false if it was refused because the process
+  /// stops.
+  bool Activate(Statement statement);
+  /// Ends the active statement at its deadline.
+  void ArmStatementTimeout();
+
+  /// Answers the statement if it may not run after a change of the session's identity.
+  bool RefuseForIdentity(const Statement& statement);
+  /// Ends the active statement, which was not sent, or starts it again under the new identity.
+  void RestartForIdentity();
+  /// Makes up for an UpdateIdentity that had to wait for a result.
+  void UpdateIdentityAfterReply();
+  /// Closes the caller's connection later if the session's key is still not known then.
+  void ScheduleClose();
+  /// Closes the caller's connection if nothing is in progress or queued and the key is not known.
+  void CloseIfUnauthenticated();
+  /// True if the session's operations need the permission of SessionRelayHooks::admit.
+  bool NeedsAdmission() const;
+  /// Starts the operation that begins with the active statement once it is admitted.
+  void Admit();
+  void OnAdmission(const AdmissionVerdict& verdict);
+  void StartAdmitted();
+  /// True unless the leased connection belongs to another organisation than the session, which
+  /// would be a fault of this program.
+  bool HoldsOwnConnection() const;
   /// True for a write, and for the execution of a prepared statement that writes.
   bool Writes(const Statement& statement) const;
 
@@ -103,8 +137,9 @@
   void Acquire(const std::string& server_id, std::optional<PrimaryGrant> grant);
   void OnLease(const std::string& server_id, const std::optional<PrimaryGrant>& grant,
                const LeaseAnswer& answer);
-  /// True if the leased connection may be used: it is not used as the primary's, its grant is still
-  /// valid, or a read-only transaction has begun on it.
+  /// True if the leased connection may be used: it belongs to the session's organisation, and it is
+  /// not used as the primary's, its grant is still valid, or a read-only transaction has begun on
+  /// it.
   bool MayUseServer() const;
   /// Sets the state of this session on the leased connection, then begins the transaction or sends
   /// the active statement.
@@ -153,6 +188,12 @@
   SessionRelay::Impl& relay;
   const std::weak_ptr<bool> relay_alive;
   const std::string route_name;
+  const std::string key;     ///< A secret; see SessionRequest.
+  SessionIdentity identity;  ///< Of the statement or transaction in progress.
+  /// The configuration has changed since `identity` was determined.
+  bool identity_outdated = false;
+  bool abort_unreported = false;  ///< The next statement is answered that the transaction ended.
+  bool closing = false;           ///< This session has closed the caller's connection.
   CallerSessionHooks hooks;
   RelayRoute route;  ///< As of the start of the current statement or transaction.
   SessionProfile profile;
--- a/src/relay/caller_session_dispatch.cc
+++ b/src/relay/caller_session_dispatch.cc
@@ -22,14 +22,6 @@
   return std::chrono::duration_cast<Duration>(whole * fraction);
 }
 
-// Weight of a route in the queues for connections. While both wait, statements of the highest
-// priority get eight times as many connections as those of the lowest.
-int QueueWeight(int priority) {
-  constexpr int kWeights[] = {8, 4, 1};
-  constexpr int kLowest = 2;
-  return kWeights[std::clamp(priority, 0, kLowest)];
-}
-
 }  // namespace
 
 void RelayCallerSession::ResumeDispatch() {
@@ -45,6 +37,9 @@
     this->RollBackAndRelease();
     return;
   }
+  if (this->identity_outdated && this->UpdateIdentity()) {
+    return;
+  }
   if (this->held) {
     this->Prepare();
     return;
@@ -138,6 +133,8 @@
   LeaseRequest request;
   request.caller_group = this->route_name;
   request.weight = QueueWeight(this->route.priority);
+  request.organisation = this->identity.organisation;
+  request.organisation_weight = this->identity.weight;
   request.deadline = std::min(wait_until, this->active->deadline);
   request.cost = [server, self = this->shared_from_this()](ConnectionId connection) {
     const auto session = server->sessions.find(connection);
@@ -220,8 +217,10 @@
 // A read-only transaction that has begun reads the log as of its start or later. This stays valid
 // even if another server has become primary since.
 bool RelayCallerSession::MayUseServer() const {
-  return !this->held->grant || (this->held->began && this->read_only) ||
-         this->relay.grants.StillValid(this->route.database, this->held->grant->generation);
+  const bool current =
+      !this->held->grant || (this->held->began && this->read_only) ||
+      this->relay.grants.StillValid(this->route.database, this->held->grant->generation);
+  return current && this->HoldsOwnConnection();
 }
 
 void RelayCallerSession::Prepare() {
--- a/src/relay/caller_session_result.cc
+++ b/src/relay/caller_session_result.cc
@@ -142,7 +142,9 @@
   }
   const bool is_read = !this->Writes(this->active->statement) &&
                        this->active->statement.kind != StatementKind::kCommit;
-  if (!failed || !is_read || this->transaction != TransactionState::kNone ||
+  // After a change of the key, the statement must not run again, so this is its result.
+  if (!failed || !is_read || this->identity_outdated ||
+      this->transaction != TransactionState::kNone ||
       ++this->active->failures > SessionRelay::kMaxFailedReadRetries) {
     return false;
   }
--- a/src/relay/relay_state.h
+++ b/src/relay/relay_state.h
@@ -97,6 +97,9 @@
   void QueryPosition(const std::string& database, const PrimaryGrant& grant);
   void OnPositionLease(const std::string& database, const PrimaryGrant& grant,
                        const LeaseAnswer& answer);
+  /// To be called after the configuration was replaced; `previous` may be null. Closes connections
+  /// of organisations that have ended, and updates the sessions' identities.
+  void ApplyOrganisations(const OrganisationDirectory* previous);
   /// Runs `action` on the sessions for which `chosen` is true when the method starts. `action` may
   /// end sessions.
   void ForEachSession(const std::function<bool(const RelayCallerSession&)>& chosen,
--- a/src/relay/session_relay.cc
+++ b/src/relay/session_relay.cc
@@ -168,7 +168,7 @@
     });
   };
   server->sessions[connection] = std::make_unique<BackendSession>(
-      this->hooks.open_channel(server->record, organisation, events));
+      this->hooks.open_channel(server->record, organisation, events), organisation);
 }
 
 void SessionRelay::Impl::CloseConnection(const std::string& id, ConnectionId connection) {
@@ -351,8 +351,9 @@
 }
 
 void SessionRelay::SetConfiguration(std::shared_ptr<const RelayConfiguration> configuration) {
-  this->impl->configuration = std::move(configuration);
+  const auto previous = std::exchange(this->impl->configuration, std::move(configuration));
   this->impl->UpdateLimits();
+  this->impl->ApplyOrganisations(previous->organisations.get());
 }
 
 void SessionRelay::PutServer(const BackendServerRecord& record) {
@@ -447,8 +448,13 @@
     opened.refusal = StatementError{StatementErrorCode::kUnknownDatabase, "no route has this name"};
     return opened;
   }
-  opened.session =
-      std::make_shared<RelayCallerSession>(*this->impl, request.route, std::move(hooks));
+  SessionIdentity identity = IdentifyCaller(*this->impl->configuration, request.route, request.key);
+  if (!identity.authenticated) {
+    opened.refusal = UnauthenticatedError();
+    return opened;
+  }
+  opened.session = std::make_shared<RelayCallerSession>(*this->impl, request, std::move(identity),
+                                                        std::move(hooks));
   return opened;
 }
 
--- a/src/relay/session_relay_fixture_test.h
+++ b/src/relay/session_relay_fixture_test.h
@@ -32,6 +32,7 @@
 struct TestCaller {
   std::shared_ptr<CallerSession> session;
   std::vector<StatementResult> results;
+  bool closed = false;  ///< The session has closed the connection.
 
   StatementErrorCode LastError() const {
     return this->results.empty() || !this->results.back().error ? StatementErrorCode::kOther
@@ -42,15 +43,16 @@
 
 class SessionRelayTest : public testing::Test {
  protected:
-  SessionRelayTest()
+  explicit SessionRelayTest(decltype(SessionRelayHooks::admit) admit = nullptr)
       : database(this->clock, "orders", 3),
         grants(this->clock),
         logger(LogLevel::kError, LogFormat::kText, this->clock, [](const std::string&) {}) {
     SessionRelayHooks hooks;
-    hooks.open_channel = [this](const BackendServerRecord& record, const std::string&,
+    hooks.open_channel = [this](const BackendServerRecord& record, const std::string& organisation,
                                 BackendChannelEvents events) {
-      return this->database.Open(record, std::move(events));
+      return this->database.Open(record, std::move(events), organisation);
     };
+    hooks.admit = std::move(admit);
     hooks.primary_suspected = [this](const std::string&) { ++this->suspicions; };
     this->relay = std::make_unique<SessionRelay>(
         SessionRelayOptions{"dc0"}, hooks, this->grants, this->clock, this->clock,
@@ -105,9 +107,13 @@
     this->callers.push_back(std::make_unique<TestCaller>());
     TestCaller* caller = this->callers.back().get();
     OpenedSession opened = this->relay->Open(
-        SessionRequest{route, key},
-        CallerSessionHooks{
-            [caller](const StatementResult& result) { caller->results.push_back(result); }, [] {}});
+        SessionRequest{route, key}, CallerSessionHooks{[caller](const StatementResult& result) {
+                                                         caller->results.push_back(result);
+                                                       },
+                                                       [caller] {
+                                                         caller->closed = true;
+                                                         caller->session->OnCallerDisconnected();
+                                                       }});
     caller->session = std::move(opened.session);
     return *caller;
   }
--- a/src/relay/simulated_database_test.h
+++ b/src/relay/simulated_database_test.h
@@ -29,6 +29,7 @@
     std::optional<LogPosition> required;
     bool in_transaction = false;
     int connection = 0;
+    std::string organisation;  ///< For which the connection was opened.
     std::map<std::string, std::string> variables;
     LogPosition log_end;
   };
@@ -90,8 +91,9 @@
   }
 
   std::shared_ptr<BackendChannel> Open(const BackendServerRecord& record,
-                                       BackendChannelEvents events) {
-    auto channel = std::make_shared<Channel>(*this, record.id, std::move(events));
+                                       BackendChannelEvents events,
+                                       const std::string& organisation = "") {
+    auto channel = std::make_shared<Channel>(*this, record.id, std::move(events), organisation);
     channel->Start();
     return channel;
   }
@@ -147,8 +149,12 @@
  private:
   class Channel : public BackendChannel, public std::enable_shared_from_this<Channel> {
    public:
-    Channel(SimulatedDatabase& database, std::string server, BackendChannelEvents events)
-        : database(database), server(std::move(server)), events(std::move(events)) {}
+    Channel(SimulatedDatabase& database, std::string server, BackendChannelEvents events,
+            std::string organisation)
+        : database(database),
+          server(std::move(server)),
+          organisation(std::move(organisation)),
+          events(std::move(events)) {}
 
     void Start() {
       this->database.clock.RunAfter(std::chrono::milliseconds(12),
@@ -292,6 +298,7 @@
       run.required = command.required;
       run.in_transaction = this->transaction;
       run.connection = this->number;
+      run.organisation = this->organisation;
       run.variables = this->variables;
       run.log_end = End(target);
       this->database.runs.push_back(run);
@@ -318,6 +325,7 @@
 
     SimulatedDatabase& database;
     const std::string server;
+    const std::string organisation;
     BackendChannelEvents events;
     TimePoint busy_until;
     std::map<std::string, std::string> variables;
