Test keys with real relay processes

Cause: no test covers keys from the configuration in the store to the caller's connection.

Change: RelayTest.KeysAreCheckedRevokedAndNotLogged checks refusals, a key of two organisations, an invalid version, a revocation with an idle session and an open transaction, and that logs and metrics contain no key. The stand-in's configuration can have a list of organisations.

--- a/testsuite/relay/relay_test.cc
+++ b/testsuite/relay/relay_test.cc
@@ -37,9 +37,9 @@
 /// A caller's session on one connection.
 class Caller {
  public:
-  Caller(const std::string& host, const std::string& route)
+  Caller(const std::string& host, const std::string& route, const std::string& key = "test")
       : socket(RawSocket::ConnectTo(kCallerPort, host)) {
-    this->socket.Send("STARTUP " + route + " test\r\n");
+    this->socket.Send("STARTUP " + route + " " + key + "\r\n");
     this->greeting = this->socket.ReceiveUntil("\r\n");
   }
 
@@ -60,6 +60,13 @@
 
   std::string Receive() { return this->socket.ReceiveUntil(" -\r\n"); }
 
+  /// True if the relay sends nothing more and closes the connection within 5 s.
+  bool IsClosed() {
+    const auto start = std::chrono::steady_clock::now();
+    const std::string rest = this->socket.ReceiveUntil("no answer has this text", seconds(5));
+    return rest.empty() && std::chrono::steady_clock::now() - start < seconds(5);
+  }
+
   std::string greeting;
 
  private:
@@ -104,11 +111,23 @@
     return std::string(std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>());
   }
 
-  /// Number of list and watch calls to the store that the process has made, from its metrics.
-  int StoreReads() const {
+  /// The log so far.
+  const std::string& Log() {
+    while (const auto line = this->process->ReadLine(milliseconds(20))) {
+      this->log += *line + "\n";
+    }
+    return this->log;
+  }
+
+  std::string Metrics() const {
     const RawSocket socket = RawSocket::ConnectTo(kMetricsPort, this->host);
     socket.Send("GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
-    std::istringstream lines(socket.ReceiveUntil("no line has this text"));
+    return socket.ReceiveUntil("no line has this text");
+  }
+
+  /// Number of list and watch calls to the store that the process has made, from its metrics.
+  int StoreReads() const {
+    std::istringstream lines(this->Metrics());
     double reads = 0;
     for (std::string line; std::getline(lines, line);) {
       const bool calls = line.rfind("sycamoredrum_platform_calls_total{", 0) == 0;
@@ -124,6 +143,9 @@
   const std::string host;
   const std::string error_file;
   std::unique_ptr<ChildProcess> process;
+
+ private:
+  std::string log;
 };
 
 template <typename Condition>
@@ -153,8 +175,8 @@
     }
   }
 
-  Caller Open(int relay, const std::string& route) {
-    return Caller(this->relays[static_cast<std::size_t>(relay)]->host, route);
+  Caller Open(int relay, const std::string& route, const std::string& key = "test") {
+    return Caller(this->relays[static_cast<std::size_t>(relay)]->host, route, key);
   }
 
   /// Repeats a write until it succeeds, as a caller repeats refused operations.
@@ -358,6 +380,49 @@
 
 // Guards against a relay that drops a new configuration because the store, back from an older copy,
 // gave it an earlier revision than that of the configuration in use.
+// Guards against keys that are not checked, not revoked or written to logs and metrics, and against
+// a refusal that is lost because the connection is closed.
+TEST_F(RelayTest, KeysAreCheckedRevokedAndNotLogged) {
+  const std::vector<std::string> routes = {"place=primary"};
+  this->platform.Configure(8, routes,
+                           R"([{"name":"acme","apiKeys":["secret-1","secret-2"]},
+                               {"name":"twin","apiKeys":["secret-2","secret-3"]}])");
+  for (const int relay : {0, 1}) {
+    ASSERT_TRUE(Eventually(
+        [&] { return this->Open(relay, "place", "secret-4").greeting.find("ERR NOAUTH ") == 0; }));
+  }
+  EXPECT_THAT(this->Open(0, "place", "secret-2").greeting, HasSubstr("ERR NOAUTH "));
+  EXPECT_THAT(this->Open(0, "secret-1", "place").greeting, HasSubstr("ERR NODB "));
+  EXPECT_TRUE(this->Open(0, "place", "").IsClosed());
+  Caller idle = this->Open(0, "place", "secret-1");
+  Caller busy = this->Open(1, "place", "secret-1");
+  EXPECT_THAT(busy.Execute("WRITE a one"), HasSubstr("DONE"));
+  EXPECT_EQ(busy.Execute("BEGIN"), "DONE -\r\nREADY T -\r\n");
+  EXPECT_THAT(busy.Execute("WRITE a two"), HasSubstr("READY T -"));
+  // An invalid version changes nothing; the next one revokes the key.
+  this->platform.Configure(9, routes, R"([{"name":"acme","apiKeys":["secret-5",""]}])");
+  ASSERT_TRUE(Eventually([&] {
+    return (this->relays[0]->Log() + this->relays[1]->Log()).find("tenants[0].apiKeys[1]") !=
+           std::string::npos;
+  }));
+  EXPECT_EQ(this->Open(0, "place", "secret-1").greeting, "READY I -\r\n");
+  this->platform.Configure(10, routes, R"([{"name":"acme","apiKeys":["secret-6"]}])");
+  ASSERT_TRUE(Eventually([&] {
+    return this->Open(1, "place", "secret-6").greeting == "READY I -\r\n" &&
+           this->Open(0, "place", "secret-6").greeting == "READY I -\r\n";
+  }));
+  EXPECT_THAT(busy.Execute("COMMIT"), testing::StartsWith("ERR NOAUTH "));
+  EXPECT_TRUE(idle.IsClosed());
+  EXPECT_TRUE(busy.IsClosed());
+  EXPECT_EQ(this->platform.CommitsOf("two"), 0);
+  for (const auto& relay : this->relays) {
+    EXPECT_THAT(relay->Log(), HasSubstr("organisation_findings"));
+    EXPECT_THAT(relay->Log(), HasSubstr("tenants[1].apiKeys[0]"));
+    EXPECT_THAT(relay->Log(), testing::Not(HasSubstr("secret-")));
+    EXPECT_THAT(relay->Metrics(), testing::Not(HasSubstr("secret-")));
+  }
+}
+
 TEST_F(RelayTest, ConfigurationWrittenAfterTheStoreWasRestoredIsInForce) {
   constexpr milliseconds kApplyLimit(4000);  // The platform's bound.
   this->platform.SaveStore();
--- a/testsuite/relay/standin_users_platform.cc
+++ b/testsuite/relay/standin_users_platform.cc
@@ -443,7 +443,8 @@
   this->state->loop.Join();
 }
 
-void StandinUsersPlatform::Configure(int version, const std::vector<std::string>& routes) {
+void StandinUsersPlatform::Configure(int version, const std::vector<std::string>& routes,
+                                     const std::string& organisations) {
   Json body = {{"version", version}, {"routes", Json::array()}, {"services", Json::array()}};
   for (const std::string& route : routes) {
     const std::vector<std::string> parts = absl::StrSplit(route, '=');
@@ -457,6 +458,9 @@
                               {"maxStalenessMs", 1500}});
   }
   body["services"].push_back({{"name", kService}, {"maxConns", 21}, {"syncReplicas", 0}});
+  if (!organisations.empty()) {
+    body["tenants"] = Json::parse(organisations);
+  }
   body["limits"] = {{"txIdleMs", 3000}, {"idleTimeoutMs", 15000}};
   this->state->RunOnLoop<bool>([this, &body] {
     this->state->Put("op/config", absl::Base64Escape(body.dump()), 0);
--- a/testsuite/relay/standin_users_platform.h
+++ b/testsuite/relay/standin_users_platform.h
@@ -30,7 +30,10 @@
   Endpoint Address() const { return this->address; }
 
   /// Writes the operator's configuration with this version. Each route is NAME=TYPE.
-  void Configure(int version, const std::vector<std::string>& routes);
+  /// `organisations` is the list of organisations in JSON; if it is empty, the configuration has no
+  /// list.
+  void Configure(int version, const std::vector<std::string>& routes,
+                 const std::string& organisations = "");
   /// Stops a backend server and closes its connections, as if its process had been killed.
   void KillBackendServer(int number);
   /// Sets the record of a backend server to draining, which announces its stop.
