Exchange allowances between relays

The decisions of src/allowance need the leader's assignment, its record in the store, leases for the holders and requests for tokens. The heartbeat and its answer get one optional field each, which is absent where no organisation has a rate; AllowanceLeader records the assignment under the condition of the leader's key; AllowanceExchange batches the requests of a relay to each holder. RateLimitsOf still returns no limits: the configuration has no directory of organisations yet.

--- a/src/allowance/allowance_assignment.cc
+++ b/src/allowance/allowance_assignment.cc
@@ -12,8 +12,9 @@
 }  // namespace
 
 bool operator==(const SlotRecord& a, const SlotRecord& b) {
-  return std::tie(a.member, a.incarnation, a.registration, a.generation) ==
-         std::tie(b.member, b.incarnation, b.registration, b.generation);
+  return std::tie(a.member, a.incarnation, a.registration, a.generation, a.data_centre,
+                  a.endpoint) ==
+         std::tie(b.member, b.incarnation, b.registration, b.generation, b.data_centre, b.endpoint);
 }
 
 void AllowanceAssignment::Begin(std::uint64_t new_epoch, const AllowanceRecord& record,
@@ -163,8 +164,9 @@
       record = this->recorded[static_cast<std::size_t>(i)];
       continue;
     }
-    record = SlotRecord{best->member.member, best->member.incarnation, best->member.registration,
-                        std::max(record.generation + 1, this->epoch)};
+    record = SlotRecord{best->member.member,       best->member.incarnation,
+                        best->member.registration, std::max(record.generation + 1, this->epoch),
+                        best->member.data_centre,  best->member.endpoint};
     this->slots[static_cast<std::size_t>(i)].changing = true;
     changed = true;
   }
--- a/src/include/sycamoredrum/allowance_assignment.h
+++ b/src/include/sycamoredrum/allowance_assignment.h
@@ -8,6 +8,7 @@
 #include <tuple>
 
 #include "sycamoredrum/allowance.h"
+#include "sycamoredrum/types.h"
 
 namespace sycamoredrum {
 
@@ -17,6 +18,8 @@
   std::string incarnation;         ///< Start of the member's process.
   std::uint64_t registration = 0;  ///< Revision of its registration when it was chosen.
   std::uint64_t generation = 0;    ///< Grows with each change of the holder.
+  std::string data_centre{};
+  Endpoint endpoint{};
 };
 
 bool operator==(const SlotRecord& a, const SlotRecord& b);
@@ -28,8 +31,9 @@
   std::string member;
   std::string incarnation;
   std::uint64_t registration = 0;
-  std::string data_centre;
-  double processor_share = 1;
+  std::string data_centre{};
+  double processor_share = 1.0;
+  Endpoint endpoint{};
 };
 
 /// One heartbeat of a member.
--- a/src/include/sycamoredrum/metrics.h
+++ b/src/include/sycamoredrum/metrics.h
@@ -45,6 +45,9 @@
   kCallerSessions,
   kLeadership,
   kStoreEra,
+  kOrganisationOperations,
+  kAllowanceTokens,
+  kAllowanceParts,
 };
 
 /// Definition of a metric for its exposition and the documentation.
--- a/src/include/sycamoredrum/relay_settings.h
+++ b/src/include/sycamoredrum/relay_settings.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "sycamoredrum/allowance.h"
 #include "sycamoredrum/clock.h"
 #include "sycamoredrum/finding.h"
 #include "sycamoredrum/log.h"
@@ -33,6 +34,7 @@
   double processor_share = 1;  ///< Fraction of a CPU core that the process gets on this VM.
   /// Limit of concurrent callers' sessions; each uses a file descriptor.
   std::size_t max_sessions = 3500;
+  AllowanceOptions allowance;  ///< How strictly the organisations' rates hold.
 
   static constexpr std::size_t kMinFleetKeyBytes = 16;
 };
--- a/src/relay_daemon/fleet_exchange.cc
+++ b/src/relay_daemon/fleet_exchange.cc
@@ -71,6 +71,18 @@
             });
 }
 
+void FleetMember::Call(const Endpoint& target, const std::string& kind, const std::string& body,
+                       Duration timeout,
+                       std::function<void(const std::optional<std::string>&)> done) {
+  this->LinkTo(target).Call(
+      kind, body, timeout, [this, kind, done = std::move(done)](const PeerAnswer& reply) {
+        if (!reply.Ok()) {
+          this->metrics.Increment(Metric::kPeerErrors, {kind});
+        }
+        done(reply.Ok() ? std::optional<std::string>(reply.body) : std::nullopt);
+      });
+}
+
 // Queries the leader or, while no leader answers, the seeds and known peers in turn.
 void FleetMember::RequestState() {
   const bool leader_answers = this->leader && this->leader->member != this->self.member &&
--- a/src/relay_daemon/fleet_leader.cc
+++ b/src/relay_daemon/fleet_leader.cc
@@ -44,6 +44,7 @@
       leadership(platform.store, MakeLeadershipOptions(this->self, min_candidate_delay),
                  this->MakeLeadershipHooks(), clock, scheduler, std::move(random)),
       authority(this->MakeAuthorityHooks(), LeadershipOptions{}.lease, clock, scheduler, logger),
+      allowances(platform.store, kLeaderKey, this->hooks.member_record, clock, logger),
       era_observed_at(clock.Now()),
       last_cleanup(clock.Now()) {}
 
@@ -60,6 +61,7 @@
     this->last_leadership_began = this->authority.Active();
     this->requested_removals.clear();
     this->authority.End();
+    this->allowances.End();
   };
   result.is_predecessor = [this](const std::string& value) {
     const std::optional<MemberRecord> record = ParseMemberRecord(value);
@@ -209,6 +211,7 @@
                      {"records", absl::StrCat(state.records.size())},
                      {"members", absl::StrCat(state.members.size())}});
   this->authority.Begin(epoch, state);
+  this->allowances.Begin(epoch, page, state.era_observed_at, state.uninterrupted);
   this->hooks.request_heartbeats();
 }
 
@@ -291,6 +294,9 @@
 
 void FleetLeader::Tick() {
   this->authority.Tick();
+  if (this->Leading()) {
+    this->allowances.Tick();
+  }
   if (this->Leading() && this->clock.Now() - this->last_cleanup > kRegistrationCleanupInterval) {
     this->last_cleanup = this->clock.Now();
     this->RemoveSilentMembers();
@@ -341,6 +347,7 @@
   }
   this->logger.Info("grants_returned", {{"member", message.member}});
   this->authority.OnGrantsGivenBack(message.member, message.registration);
+  this->allowances.OnReturned(message.member, message.registration);
 }
 
 HeartbeatAnswer FleetLeader::OnHeartbeat(const HeartbeatMessage& message) {
@@ -410,6 +417,7 @@
                                                now - observation.as_of});
     }
   }
+  this->allowances.OnHeartbeat(message, answer);
   return answer;
 }
 
--- a/src/relay_daemon/fleet_leader.h
+++ b/src/relay_daemon/fleet_leader.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "allowance_leader.h"
 #include "fleet_messages.h"
 #include "known_primaries.h"
 #include "sycamoredrum/event_loop.h"
@@ -32,6 +33,8 @@
       revoke;
   /// Requests an immediate heartbeat from all members.
   std::function<void()> request_heartbeats;
+  /// Returns the registration of a member, or nothing if it is not known.
+  std::function<std::optional<MemberRecord>(const std::string& member)> member_record = nullptr;
 };
 
 /// The leader role of a process: takes part in the election and, while it leads, answers the
@@ -121,6 +124,7 @@
   Metrics& metrics;
   Leadership leadership;
   PrimaryAuthority authority;
+  AllowanceLeader allowances;
   std::map<std::string, std::uint64_t> member_revisions;  ///< Store revisions of the registrations.
   /// Revisions of the registrations whose removal this leader has requested.
   std::map<std::string, std::uint64_t> requested_removals;
--- a/src/relay_daemon/fleet_member.cc
+++ b/src/relay_daemon/fleet_member.cc
@@ -64,7 +64,13 @@
                              std::function<void(const std::optional<RevocationAnswer>&)> done) {
                         this->Revoke(member, message, std::move(done));
                       },
-                      [this] { this->RequestHeartbeats(); }},
+                      [this] { this->RequestHeartbeats(); },
+                      [this](const std::string& member) {
+                        const auto record = this->members.find(member);
+                        return record == this->members.end()
+                                   ? std::nullopt
+                                   : std::optional<MemberRecord>(record->second);
+                      }},
                   clock, loop, random, logger, metrics),
       leader_mirror(platform.store, MakeLeaderMirrorOptions(), this->MakeLeaderMirrorHooks(), clock,
                     loop, random),
@@ -168,6 +174,14 @@
     state.peers = this->SamplePeers();
     respond(PeerReply{ToJson(state), "", ""});
   };
+  handlers["allowance"] = [this, unreadable](const PeerRequest& request,
+                                             const PeerRespond& respond) {
+    if (const auto answer = this->hooks.tokens_requested(request.member, request.body)) {
+      respond(PeerReply{*answer, "", ""});
+    } else {
+      unreadable(respond);
+    }
+  };
   return handlers;
 }
 
@@ -343,6 +357,7 @@
   if (this->relay.Configuration()->connection_caps.size() > kMaxDatabasesWithAllPositions) {
     message.used_databases = this->relay.DatabasesInUse();
   }
+  this->hooks.extend_heartbeat(message);
   return message;
 }
 
@@ -417,6 +432,7 @@
   }
   this->relay.SetShares(answer.connections);
   this->relay.GrantsChanged();
+  this->hooks.heartbeat_answered(answer, sent);
   if (answer.configuration > this->configuration_version) {
     this->RequestState();
   }
--- a/src/relay_daemon/fleet_member.h
+++ b/src/relay_daemon/fleet_member.h
@@ -32,6 +32,13 @@
   std::function<bool()> needs_servers;
   /// The store answered the lookup of this member's registration.
   std::function<void()> store_reachable;
+  /// The following belong to the exchange of allowances. Adds its part to a heartbeat.
+  std::function<void(HeartbeatMessage&)> extend_heartbeat;
+  /// The present leader answered a heartbeat that was sent at `sent`.
+  std::function<void(const HeartbeatAnswer&, TimePoint sent)> heartbeat_answered;
+  /// Answers a request for tokens; nothing if it cannot be read.
+  std::function<std::optional<std::string>(const std::string& member, const std::string& body)>
+      tokens_requested;
 };
 
 /// Membership of this process in the fleet. Registers the process in the store, tracks the leader,
@@ -126,6 +133,11 @@
   /// Leaves the fleet. To be called when no statement is in progress. `done` runs when the
   /// registration is removed or the store did not answer in time.
   void Leave(std::function<void()> done);
+  /// Sends a request to another member. `done` receives the answer, or nothing if there was none.
+  void Call(const Endpoint& target, const std::string& kind, const std::string& body,
+            Duration timeout, std::function<void(const std::optional<std::string>&)> done);
+  /// Asks the leader or, while no leader answers, another member for a later configuration.
+  void RequestState();
   /// A primary refused or closed a connection. Sends a heartbeat ahead of schedule, so that the
   /// leader receives the failure.
   void OnPrimarySuspected(const std::string& database);
@@ -186,7 +198,6 @@
   /// True if `report` contains observations that must be sent to the leader.
   bool ShouldReport(const std::string& database, const DatabaseReport& report) const;
   void OnAnswer(const HeartbeatAnswer& answer, TimePoint sent);
-  void RequestState();
   void RequestStateFrom(const Endpoint& target);
   void RequestServers(std::uint64_t epoch);
   void OnState(const SharedState& state);
--- a/src/relay_daemon/fleet_messages.cc
+++ b/src/relay_daemon/fleet_messages.cc
@@ -177,6 +177,9 @@
   if (message.used_databases) {
     json["used_databases"] = *message.used_databases;
   }
+  if (message.allowance) {
+    json["allowance"] = *message.allowance;
+  }
   return json.dump();
 }
 
@@ -201,6 +204,9 @@
     if (json.contains("used_databases")) {
       message.used_databases = json.at("used_databases").get<std::set<std::string>>();
     }
+    if (json.contains("allowance")) {
+      message.allowance = json.at("allowance").get<AllowanceHeartbeat>();
+    }
     return message;
   });
 }
@@ -233,6 +239,9 @@
   if (!answer.connections.empty()) {
     json["connections"] = answer.connections;
   }
+  if (answer.allowance) {
+    json["allowance"] = *answer.allowance;
+  }
   return json.dump();
 }
 
@@ -266,6 +275,9 @@
       }
     }
     answer.connections = json.value("connections", std::map<std::string, int>());
+    if (json.contains("allowance")) {
+      answer.allowance = json.at("allowance").get<AllowanceLeases>();
+    }
     return answer;
   });
 }
--- a/src/relay_daemon/fleet_messages.h
+++ b/src/relay_daemon/fleet_messages.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "allowance_messages.h"
 #include "sycamoredrum/clock.h"
 #include "sycamoredrum/primary_authority.h"
 #include "sycamoredrum/relay_configuration.h"
@@ -61,6 +62,7 @@
   std::map<std::string, double> demand;
   /// Databases whose positions the member needs; nothing if it needs all.
   std::optional<std::set<std::string>> used_databases;
+  std::optional<AllowanceHeartbeat> allowance;
 };
 
 std::string ToJson(const HeartbeatMessage& message);
@@ -98,6 +100,7 @@
   std::map<std::string, PositionMessage> positions;
   /// Connections that the member may open, by backend server; only values other than kMinShare.
   std::map<std::string, int> connections;
+  std::optional<AllowanceLeases> allowance;
 };
 
 std::string ToJson(const HeartbeatAnswer& answer);
--- a/src/relay_daemon/relay_daemon.cc
+++ b/src/relay_daemon/relay_daemon.cc
@@ -11,6 +11,7 @@
 #include <set>
 #include <utility>
 
+#include "allowance_exchange.h"
 #include "fleet_member.h"
 #include "sycamoredrum/boottime_clock.h"
 #include "sycamoredrum/byte_stream.h"
@@ -70,16 +71,23 @@
         platform(make_platform(this->loop, this->metrics, this->settings)),
         grants(this->clock),
         servers(this->clock, this->MakeServerDirectoryHooks()),
+        self(this->MakeMemberRecord()),
+        allowances(this->self, this->settings.processor_share, this->settings.allowance,
+                   this->MakeAllowanceHooks(), this->clock, this->loop, this->random, this->logger,
+                   this->metrics),
         relay(SessionRelayOptions{this->settings.data_centre},
               SessionRelayHooks{this->platform.open_channel,
                                 [this](const std::string& database) {
                                   this->member.OnPrimarySuspected(database);
+                                },
+                                [this](const std::string& organisation, TimePoint deadline,
+                                       std::function<void(const AdmissionVerdict&)> done) {
+                                  this->allowances.Admit(organisation, deadline, std::move(done));
                                 }},
               this->grants, this->clock, this->loop, this->random, this->logger, this->metrics),
-        member(this->platform, this->MakeMemberRecord(), this->settings.processor_share,
-               this->settings.seeds, this->settings.fleet_key, this->MakeMemberHooks(), this->relay,
-               this->grants, this->servers, this->loop, this->clock, this->random, this->logger,
-               this->metrics),
+        member(this->platform, this->self, this->settings.processor_share, this->settings.seeds,
+               this->settings.fleet_key, this->MakeMemberHooks(), this->relay, this->grants,
+               this->servers, this->loop, this->clock, this->random, this->logger, this->metrics),
         configuration_mirror(this->platform.store, this->MakeConfigurationMirrorOptions(),
                              this->MakeConfigurationMirrorHooks(), this->clock, this->loop,
                              this->random),
@@ -101,6 +109,7 @@
 
   ServerDirectoryHooks MakeServerDirectoryHooks();
   FleetMemberHooks MakeMemberHooks();
+  AllowanceExchangeHooks MakeAllowanceHooks();
   StoreMirrorOptions MakeConfigurationMirrorOptions() const {
     StoreMirrorOptions options;
     options.prefix = this->platform.configuration_key;
@@ -135,6 +144,8 @@
   RelayPlatform platform;
   PrimaryGrants grants;
   ServerDirectory servers;
+  const MemberRecord self;
+  AllowanceExchange allowances;
   SessionRelay relay;
   FleetMember member;
   StoreMirror configuration_mirror;
@@ -189,6 +200,24 @@
     this->configuration_mirror.ResendOverdueList();
     this->servers_mirror.ResendOverdueList();
   };
+  hooks.extend_heartbeat = [this](HeartbeatMessage& message) { this->allowances.AddTo(message); };
+  hooks.heartbeat_answered = [this](const HeartbeatAnswer& answer, TimePoint sent) {
+    this->allowances.OnAnswer(answer, sent);
+  };
+  hooks.tokens_requested = [this](const std::string& member, const std::string& body) {
+    return this->allowances.OnRequest(member, body);
+  };
+  return hooks;
+}
+
+AllowanceExchangeHooks RelayDaemon::State::MakeAllowanceHooks() {
+  AllowanceExchangeHooks hooks;
+  hooks.call = [this](const Endpoint& target, const std::string& body,
+                      std::function<void(const std::optional<std::string>&)> done) {
+    this->member.Call(target, "allowance", body, AllowanceExchange::kRequestTimeout,
+                      std::move(done));
+  };
+  hooks.request_configuration = [this] { this->member.RequestState(); };
   return hooks;
 }
 
@@ -351,6 +380,7 @@
     this->caller_server.Accept();
   }
   this->configuration_text = text;
+  this->allowances.SetLimits(RateLimitsOf(*configuration));
   this->relay.SetConfiguration(configuration);
   this->member.ConfigurationChanged(*configuration);
   this->metrics.Set(Metric::kConfigurationNumber, {}, static_cast<double>(configuration->version));
@@ -407,6 +437,7 @@
   }
   this->servers.Tick();
   this->relay.Tick();
+  this->allowances.Tick();
   this->member.Tick();
   const bool cut_off = this->member.CutOff();
   if (std::exchange(this->cut_off, cut_off) != cut_off) {
@@ -519,6 +550,7 @@
 
 void RelayDaemon::State::End() {
   this->ended = true;
+  this->allowances.Stop();
   this->member.Leave([this] {
     this->logger.Info("stopped", {{"sessions_left", absl::StrCat(this->callers.size())}});
     this->loop.Stop();
--- a/src/relay_daemon/relay_settings.cc
+++ b/src/relay_daemon/relay_settings.cc
@@ -34,6 +34,9 @@
       {"log-format", "text", "text or json"},
       {"max-sessions", "3500", "Callers' sessions at the same time; each takes a descriptor"},
       {"processor-share", "1", "Part of a core that this VM gives the relay"},
+      {"allowance-window", "5s", "Any window of this length holds an organisation's rate"},
+      {"allowance-tolerance", "0.1", "Share by which a window may exceed rate and burst"},
+      {"allowance-slack", "20", "Operations by which a window may exceed that as well"},
       {"stop-grace", "6s", "Time from SIGTERM to the forced end of the process"},
   };
   return table;
@@ -69,6 +72,10 @@
       reader.Time("stop-grace", std::chrono::milliseconds(500), std::chrono::seconds(600));
   settings.processor_share = reader.Number("processor-share", 0.01, 1024);
   settings.max_sessions = static_cast<std::size_t>(reader.Number("max-sessions", 1, 1e6));
+  settings.allowance.window =
+      reader.Time("allowance-window", std::chrono::seconds(1), std::chrono::seconds(300));
+  settings.allowance.tolerance = reader.Number("allowance-tolerance", 0, 10);
+  settings.allowance.slack = reader.Number("allowance-slack", 0, 1e6);
   CheckConsistency(settings, reader);
   if (!findings.Empty()) {
     return std::nullopt;
--- a/src/relay_daemon/simulated_fleet_test.h
+++ b/src/relay_daemon/simulated_fleet_test.h
@@ -60,6 +60,10 @@
   std::int64_t answer_stamp = 0;
   TimePoint answer_received;
   std::optional<TimePoint> position_at;  ///< Time of the newest position received from the leader.
+  /// Further state of the process and its part in the heartbeats, set by SimulatedFleet::extend.
+  std::shared_ptr<void> extension;
+  std::function<void(HeartbeatMessage&)> extend_heartbeat;
+  std::function<void(const HeartbeatAnswer&, TimePoint sent)> heartbeat_answered;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
@@ -79,6 +83,9 @@
   void StartNode(int number) {
     this->nodes[static_cast<std::size_t>(number)] =
         std::make_unique<Node>(*this, number, ++this->incarnations);
+    if (this->extend) {
+      this->extend(*this->nodes[static_cast<std::size_t>(number)]);
+    }
   }
 
   /// Kills a process.
@@ -180,6 +187,7 @@
   std::vector<std::unique_ptr<Node>> nodes;
   std::vector<TimePoint> frozen_until;
   std::set<std::pair<int, int>> links_cut;
+  std::function<void(Node&)> extend;  ///< Called for each process that starts.
   bool long_message_delays = true;
   int incarnations = 0;
   int promotions = 0;
@@ -269,6 +277,11 @@
     });
   };
   hooks.request_heartbeats = [] {};
+  hooks.member_record = [&fleet](const std::string& member) -> std::optional<MemberRecord> {
+    const std::string key = kMembersPrefix + member;
+    const auto item = fleet.store.Items().find(key);
+    return item == fleet.store.Items().end() ? std::nullopt : ParseMemberRecord(item->second.value);
+  };
   this->leader = std::make_unique<FleetLeader>(
       this->platform, this->self, Duration::zero(), hooks, fleet.clock, fleet.clock,
       [&fleet] { return fleet.random(); }, this->logger, this->metrics);
@@ -370,6 +383,9 @@
     report.generation = grant->generation;
     report.answered_age = now - this->answered_at;
   }
+  if (this->extend_heartbeat) {
+    this->extend_heartbeat(message);
+  }
   return message;
 }
 
@@ -393,6 +409,9 @@
     this->grants.Renew(name, PrimaryGrant{record.server, record.generation, answer.epoch,
                                           sent + PrimaryAuthority::kGrantValidity});
   }
+  if (this->heartbeat_answered) {
+    this->heartbeat_answered(answer, sent);
+  }
 }
 
 inline RevocationAnswer Node::OnRevocation(const RevocationMessage& message) {
--- a/src/telemetry/metrics.cc
+++ b/src/telemetry/metrics.cc
@@ -175,6 +175,21 @@
        "sycamoredrum_store_era",
        "Era of the store: rises when the store returns from an older copy",
        {}},
+      {Metric::kOrganisationOperations,
+       MetricKind::kCounter,
+       "sycamoredrum_organisation_operations_total",
+       "Operations of organisations that have a rate, by outcome",
+       {"organisation", "outcome"}},
+      {Metric::kAllowanceTokens,
+       MetricKind::kGauge,
+       "sycamoredrum_allowance_tokens",
+       "Unused tokens that this proxy holds",
+       {}},
+      {Metric::kAllowanceParts,
+       MetricKind::kGauge,
+       "sycamoredrum_allowance_parts",
+       "Parts of the organisations' rates that this proxy grants tokens of",
+       {}},
   };
   return *table;
 }
