--- a/src/include/sycamoredrum/allowance_holder.h
+++ b/src/include/sycamoredrum/allowance_holder.h
@@ -26,7 +26,7 @@
  public:
   /// The requesters of an organisation at its limit send up to this number of requests per second
   /// to one holder. A request takes about 0.1 ms of CPU time.
-  static constexpr double kMaxRequestsPerSecond = 400;
+  static constexpr double kMaxRequestsPerSecond = 200;
   static constexpr Duration kMinRetryAfter = std::chrono::milliseconds(20);
   static constexpr Duration kMaxRetryAfter = std::chrono::seconds(2);
 
--- a/src/relay_daemon/allowance_exchange.cc
+++ b/src/relay_daemon/allowance_exchange.cc
@@ -165,6 +165,7 @@
                                               const AllowanceBatch& batch) {
   AllowanceBatchAnswer answer;
   answer.configuration = this->limits.version;
+  answer.answers.reserve(batch.requests.size());
   for (const AllowanceRequest& request : batch.requests) {
     answer.answers.push_back(this->holder.Grant(member, request));
   }
@@ -194,6 +195,7 @@
       return;
     }
     std::vector<std::string> names;
+    names.reserve(slots.size());
     for (const int slot : slots) {
       names.push_back(absl::StrCat(GroupOfSlot(slot), "/", PartOfSlot(slot)));
     }
--- a/src/relay_daemon/relay_daemon.cc
+++ b/src/relay_daemon/relay_daemon.cc
@@ -72,9 +72,6 @@
         grants(this->clock),
         servers(this->clock, this->MakeServerDirectoryHooks()),
         self(this->MakeMemberRecord()),
-        allowances(this->self, this->settings.processor_share, this->settings.allowance,
-                   this->MakeAllowanceHooks(), this->clock, this->loop, this->random, this->logger,
-                   this->metrics),
         relay(SessionRelayOptions{this->settings.data_centre},
               SessionRelayHooks{this->platform.open_channel,
                                 [this](const std::string& database) {
@@ -85,6 +82,9 @@
                                   this->allowances.Admit(organisation, deadline, std::move(done));
                                 }},
               this->grants, this->clock, this->loop, this->random, this->logger, this->metrics),
+        allowances(this->self, this->settings.processor_share, this->settings.allowance,
+                   this->MakeAllowanceHooks(), this->clock, this->loop, this->random, this->logger,
+                   this->metrics),
         member(this->platform, this->self, this->settings.processor_share, this->settings.seeds,
                this->settings.fleet_key, this->MakeMemberHooks(), this->relay, this->grants,
                this->servers, this->loop, this->clock, this->random, this->logger, this->metrics),
@@ -145,8 +145,8 @@
   PrimaryGrants grants;
   ServerDirectory servers;
   const MemberRecord self;
-  AllowanceExchange allowances;
   SessionRelay relay;
+  AllowanceExchange allowances;  ///< Destroyed before `relay`: it holds callbacks of sessions.
   FleetMember member;
   StoreMirror configuration_mirror;
   StoreMirror servers_mirror;
