Ask a silent holder less and less often

Each second, one operation of each relay waited 120 ms for a holder that was cut off. The pause now doubles up to 8 s.

--- a/src/allowance/allowance_account.cc
+++ b/src/allowance/allowance_account.cc
@@ -83,7 +83,7 @@
   for (const auto& [slot, holder] : new_holders) {
     const auto known = this->holders.find(slot);
     if (known == this->holders.end() || known->second.generation != holder.generation) {
-      this->paused_until.erase(slot);
+      this->pauses.erase(slot);
     }
   }
   this->holders = new_holders;
@@ -181,7 +181,9 @@
     const Duration time = measured != this->response_times.end()            ? measured->second
                           : holder->second.data_centre == this->data_centre ? kNearResponseTime
                                                                             : kFarResponseTime;
-    const std::tuple<bool, Duration> rank{before(this->paused_until, slot), time};
+    const auto pause = this->pauses.find(slot);
+    const bool paused = pause != this->pauses.end() && now < pause->second.until;
+    const std::tuple<bool, Duration> rank{paused, time};
     if (!best || rank < best_rank) {
       best = slot;
       best_rank = rank;
@@ -278,7 +280,7 @@
   if (answer.granted > 0 && now < sent + kTokenValidity) {
     state.tokens.push_back({answer.granted, sent + kTokenValidity});
   }
-  this->paused_until.erase(slot);
+  this->pauses.erase(slot);
   if (state.request && state.request->slot == slot) {
     if (answer.granted < state.request->wanted.needed) {
       state.short_until[slot] = now + answer.retry_after;
@@ -299,7 +301,12 @@
       entry->second.request->slot != slot) {
     return;
   }
-  this->paused_until[slot] = this->clock.Now() + kFailurePause;
+  const TimePoint now = this->clock.Now();
+  Pause& pause = this->pauses[slot];
+  if (now >= pause.until) {
+    pause.length = std::clamp<Duration>(pause.length * 2, kFailurePause, kMaxFailurePause);
+    pause.until = now + pause.length;
+  }
   entry->second.request.reset();
   entry->second.failed.insert(slot);
   std::vector<Decision> decisions;
--- a/src/allowance/allowance_fleet_test.h
+++ b/src/allowance/allowance_fleet_test.h
@@ -50,6 +50,7 @@
     std::unique_ptr<AllowanceAccount> account;
     std::unique_ptr<AllowanceHolder> holder;
     bool dead = false;
+    bool silent = false;  ///< Requests get no answer.
     int waiting = 0;
   };
 
@@ -123,6 +124,9 @@
     };
     const std::uint64_t used = this->generation;
     this->clock.RunAfter(delay, [=] {
+      if (at(to).silent) {
+        return;
+      }
       if (at(to).dead) {
         this->clock.RunAfter(delay, [=] { at(from).account->OnFailed(slot, name); });
         return;
@@ -147,6 +151,7 @@
     this->relays[static_cast<std::size_t>(relay)].account->Admit(
         name, arrived + milliseconds(500), [this, name, arrived](const AdmissionVerdict& verdict) {
           this->longest_wait = std::max(this->longest_wait, this->clock.Now() - arrived);
+          this->long_waits += this->clock.Now() - arrived >= AllowanceAccount::kAnswerTimeout;
           if (verdict.admitted) {
             this->admitted[name].Add(this->clock.Now());
           } else {
@@ -191,6 +196,7 @@
   std::size_t messages = 0;
   std::size_t offered = 0;
   Duration longest_wait{};
+  int long_waits = 0;  ///< Operations that waited for AllowanceAccount::kAnswerTimeout.
   std::map<std::string, WindowCounter> admitted;
   std::map<std::string, WindowCounter> refused;
   std::vector<Duration> retry_times;
--- a/src/include/sycamoredrum/allowance_account.h
+++ b/src/include/sycamoredrum/allowance_account.h
@@ -42,8 +42,10 @@
   /// After this time without an answer, another holder is asked. Covers a round trip between
   /// regions (40 ms) and a slow holder.
   static constexpr Duration kAnswerTimeout = std::chrono::milliseconds(120);
-  /// A holder that did not answer is asked last for this time.
+  /// A holder that did not answer is asked last for this time, which doubles with each further
+  /// failure up to kMaxFailurePause. Each attempt delays an operation by kAnswerTimeout.
   static constexpr Duration kFailurePause = std::chrono::seconds(1);
+  static constexpr Duration kMaxFailurePause = std::chrono::seconds(8);
   /// While no holder answers, requests are repeated after this time.
   static constexpr Duration kRetryInterval = std::chrono::milliseconds(100);
   /// Longest time that a refused caller is told to wait, without the random part.
@@ -92,6 +94,10 @@
     std::uint64_t number = 0;
     TokenRequest wanted;
   };
+  struct Pause {
+    TimePoint until;
+    Duration length{};
+  };
   /// Exponentially decaying rate of events.
   struct EventRate {
     double events = 0;
@@ -149,7 +155,7 @@
   RandomSource random;
   std::map<std::string, Organisation> organisations;
   std::map<int, SlotHolder> holders;
-  std::map<int, TimePoint> paused_until;           ///< Slots whose holder did not answer.
+  std::map<int, Pause> pauses;                     ///< Slots whose holder did not answer.
   std::map<std::string, Duration> response_times;  ///< Moving averages, by member.
   std::uint64_t next_request = 1;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);  ///< Expires with the object.
