Measure the response times of all holders

A relay stayed with the first holder that it had measured, since the others were assumed to be slower, and a first response time that included opening the link counted for ever. Holders without a measurement of the last 30 s now come first.

--- a/src/allowance/allowance_account.cc
+++ b/src/allowance/allowance_account.cc
@@ -10,9 +10,6 @@
 
 // Time constant of the rates of demand and admission.
 constexpr double kRateSeconds = 1;
-// Assumed until a response time of the member was measured.
-constexpr Duration kNearResponseTime = std::chrono::milliseconds(1);
-constexpr Duration kFarResponseTime = std::chrono::milliseconds(30);
 // Told to callers whose deadline passed while no holder answered.
 constexpr Duration kUnavailableRetryAfter = std::chrono::milliseconds(500);
 // Share of the fleet's rate that a relay assumes for itself until it has admitted operations.
@@ -177,10 +174,12 @@
     if (holder == this->holders.end() || excluded) {
       continue;
     }
+    // Holders without a recent measurement come first, those of the own data centre before others.
     const auto measured = this->response_times.find(holder->second.member);
-    const Duration time = measured != this->response_times.end()            ? measured->second
-                          : holder->second.data_centre == this->data_centre ? kNearResponseTime
-                                                                            : kFarResponseTime;
+    const bool known =
+        measured != this->response_times.end() && now - measured->second.updated < kResponseTimeAge;
+    const bool far = holder->second.data_centre != this->data_centre;
+    const Duration time = known ? measured->second.average : Duration(far ? 1 : 0);
     const auto pause = this->pauses.find(slot);
     const bool paused = pause != this->pauses.end() && now < pause->second.until;
     const std::tuple<bool, Duration> rank{paused, time};
@@ -315,10 +314,11 @@
 }
 
 void AllowanceAccount::ObserveResponseTime(const std::string& member, Duration time) {
-  const auto [entry, added] = this->response_times.try_emplace(member, time);
-  if (!added) {
-    entry->second += (time - entry->second) / 8;
-  }
+  const TimePoint now = this->clock.Now();
+  ResponseTime& known = this->response_times[member];
+  const bool recent = now - known.updated < kResponseTimeAge;
+  known.average = recent ? known.average + (time - known.average) / 8 : time;
+  known.updated = now;
 }
 
 // Refused callers are told to come back one after the other, at the rate at which this relay has
--- a/src/include/sycamoredrum/allowance_account.h
+++ b/src/include/sycamoredrum/allowance_account.h
@@ -48,6 +48,8 @@
   static constexpr Duration kMaxFailurePause = std::chrono::seconds(8);
   /// While no holder answers, requests are repeated after this time.
   static constexpr Duration kRetryInterval = std::chrono::milliseconds(100);
+  /// After this time a response time is measured again. The first one may include opening the link.
+  static constexpr Duration kResponseTimeAge = std::chrono::seconds(30);
   /// Longest time that a refused caller is told to wait, without the random part.
   static constexpr Duration kMaxRetryAfter = std::chrono::seconds(2);
   /// Random part of a time to come back, as a share of it.
@@ -94,6 +96,10 @@
     std::uint64_t number = 0;
     TokenRequest wanted;
   };
+  struct ResponseTime {
+    Duration average{};
+    TimePoint updated;
+  };
   struct Pause {
     TimePoint until;
     Duration length{};
@@ -155,8 +161,8 @@
   RandomSource random;
   std::map<std::string, Organisation> organisations;
   std::map<int, SlotHolder> holders;
-  std::map<int, Pause> pauses;                     ///< Slots whose holder did not answer.
-  std::map<std::string, Duration> response_times;  ///< Moving averages, by member.
+  std::map<int, Pause> pauses;                         ///< Slots whose holder did not answer.
+  std::map<std::string, ResponseTime> response_times;  ///< By member.
   std::uint64_t next_request = 1;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);  ///< Expires with the object.
 };
