Pause requests for tokens ahead while all holders fail

The failure of a request for tokens ahead led to the next request at once, up to 200 per second for each relay while a part had no holder. Slots that failed are now left out for tokens ahead until their pause ends.

--- a/src/allowance/allowance_account.cc
+++ b/src/allowance/allowance_account.cc
@@ -182,6 +182,10 @@
     const Duration time = known ? measured->second.average : Duration(far ? 1 : 0);
     const auto pause = this->pauses.find(slot);
     const bool paused = pause != this->pauses.end() && now < pause->second.until;
+    if (paused && ahead_only) {
+      // Otherwise the failure of a request for tokens ahead leads to the next one at once.
+      continue;
+    }
     const std::tuple<bool, Duration> rank{paused, time};
     if (!best || rank < best_rank) {
       best = slot;
--- a/src/allowance/allowance_test.cc
+++ b/src/allowance/allowance_test.cc
@@ -222,6 +222,19 @@
   EXPECT_EQ(verdicts, std::vector<bool>({true, false, true}));
 }
 
+// Guards against a stream of requests for tokens ahead while no holder has its part.
+TEST(AllowanceAccountTest, RequestsAheadPauseWhenAllHoldersFail) {
+  AllowanceFleet fleet(4, Limits(200, 200));
+  fleet.Idle(seconds(10));
+  fleet.Load(kName, 60, seconds(3), 3, 3);
+  for (int i = 0; i < kAllowanceParts; ++i) {
+    fleet.relays[static_cast<std::size_t>(i)].holder->DropAll();
+  }
+  fleet.messages = 0;
+  fleet.Load(kName, 60, milliseconds(400), 3, 3);
+  EXPECT_LE(fleet.messages, 15U);
+}
+
 // Messages per second, for section 2.3 of docs/design/organisations-and-load.md.
 TEST(AllowanceLoadTest, MessagesPerSecond) {
   for (const int size : {86, 5000}) {
