Move one part of each group at a time to a better holder

Cause: the first relay to report to a new leader holds all 24 parts, and one part per second moved on.

Change: at most one part of each of the eight groups moves per second, so that a fleet has its holders after about 3 s.

Result: allowance_test (24) and relay_daemon_test (54) pass.

--- a/src/allowance/allowance_assignment.cc
+++ b/src/allowance/allowance_assignment.cc
@@ -171,14 +171,15 @@
     changed = true;
   }
   if (!changed) {
-    this->WithdrawOne();
+    this->WithdrawParts();
     return std::nullopt;
   }
   return next;
 }
 
-// Moves one part at a time: a moved part grants nothing until the holder has given it back.
-void AllowanceAssignment::WithdrawOne() {
+// Moves one part of each group at a time: a moved part grants nothing until the holder has given it
+// back, and starts empty at the next one.
+void AllowanceAssignment::WithdrawParts() {
   const TimePoint now = this->clock.Now();
   const bool pending = std::any_of(this->slots.begin(), this->slots.end(),
                                    [](const Slot& slot) { return slot.withdrawn; });
@@ -186,7 +187,11 @@
     return;
   }
   this->moved_at = now;
+  std::optional<int> moved_group;
   for (int i = 0; i < kAllowanceSlots; ++i) {
+    if (moved_group == GroupOfSlot(i)) {
+      continue;
+    }
     const auto holder = this->candidates.find(this->recorded[static_cast<std::size_t>(i)].member);
     const Candidate* const best = this->Best(this->recorded, i);
     if (best == nullptr || holder == this->candidates.end()) {
@@ -199,7 +204,7 @@
         (best_low == low && best_neighbours == neighbours &&
          parts >= best_parts + kMaxDifference)) {
       this->slots[static_cast<std::size_t>(i)].withdrawn = true;
-      return;
+      moved_group = GroupOfSlot(i);
     }
   }
 }
--- a/src/include/sycamoredrum/allowance_assignment.h
+++ b/src/include/sycamoredrum/allowance_assignment.h
@@ -107,7 +107,7 @@
   bool Free(int slot) const;
   const Candidate* Best(const AllowanceRecord& record, int slot) const;
   Score ScoreOf(const AllowanceRecord& record, int slot, const AllowanceMember& member) const;
-  void WithdrawOne();
+  void WithdrawParts();
 
   const Duration leadership_lease;
   const Clock& clock;
