Bound what callers can make the relay hold

The limits were per session: 1 MiB for a message, 64 queued statements, 4 MiB unsent. Nothing bounded their sum, nor the connections without a session, nor those to the HTTP ports.

CallerLimits, a class without sockets or timers, divides the memory of the process (memory-limit) and decides which connections may read and which are closed. Messages above 32 KiB need a permission. The rest shares a budget; when it is used up, the connections that hold most for longest without progress are closed. It also applies open-session-timeout, message-progress-timeout, answer-progress-timeout and max-unopened-sessions, with the 50 ms tick of the daemon; connections that hold nothing are not visited. A caller's connection stops reading while 64 statements or 256 KiB of them are unanswered or more than 64 KiB of answers are unsent. descriptor-reserve bounds the accepted connections by the process's limit of descriptors. The HTTP ports replace the oldest connection without a complete request (max-http-connections). A peer may send large frames only after its hello.

--- a/src/include/sycamoredrum/byte_stream.h
+++ b/src/include/sycamoredrum/byte_stream.h
@@ -24,6 +24,9 @@
   /// The stream ends if sent data stays unacknowledged for this time. Keep-alive probes detect an
   /// unreachable peer of an idle stream within the same time.
   Duration peer_timeout = std::chrono::seconds(6);
+  /// Size of the system's send and receive buffers of each connection; 0: chosen by the system,
+  /// which may use several MiB for a peer that does not read.
+  std::size_t system_buffer_bytes = 0;
 };
 
 /// Hooks of a stream. They run on a worker of the loop, never inside a method of the stream, and
@@ -35,6 +38,8 @@
   std::function<void(std::string_view bytes)> received;
   /// Called at most once: when the stream ended without Close, or could not be connected.
   std::function<void(const std::string& reason)> closed;
+  /// Optional. Called when a part of the unsent bytes was sent.
+  std::function<void()> sent = nullptr;
 };
 
 /// A TCP connection. All streams that a worker reads share one read buffer, so that an idle stream
@@ -42,13 +47,23 @@
 /// and what they capture until it is closed.
 class ByteStream {
  public:
+  /// Time after which CloseAfterSending drops the bytes that the other side does not read.
+  static constexpr Duration kCloseTimeout = std::chrono::seconds(5);
+
   virtual ~ByteStream() = default;
 
   virtual void SetHooks(ByteStreamHooks hooks) = 0;
   /// Writes at once what the socket accepts, and queues the rest. Ignored after Close or
   /// CloseAfterSending.
   virtual void Send(std::string_view bytes) = 0;
-  /// Closes the stream once the unsent bytes are sent. No hook runs after this call.
+  /// Bytes that were passed to Send and that the system has not taken yet.
+  virtual std::size_t UnsentBytes() const = 0;
+  /// Stops reading, so that the other side's data stays in the system's buffers. The end of the
+  /// connection is noticed only when bytes are sent or reading resumes.
+  virtual void PauseReading() = 0;
+  virtual void ResumeReading() = 0;
+  /// Closes the stream once the unsent bytes are sent, or after kCloseTimeout. No hook runs after
+  /// this call.
   virtual void CloseAfterSending() = 0;
   /// Closes the stream at once and drops the unsent bytes. No hook runs after this call.
   virtual void Close() = 0;
--- a/src/include/sycamoredrum/http.h
+++ b/src/include/sycamoredrum/http.h
@@ -69,6 +69,9 @@
   /// Time after which a connection without a request is closed. Zero: no limit.
   Duration idle_timeout = std::chrono::seconds(60);
   std::size_t max_connections = 10000;
+  /// At `max_connections`, close the oldest connection without a complete request instead of
+  /// refusing the new one.
+  bool replace_oldest = false;
 };
 
 /// All hooks run on workers of the loop while the server holds no lock. The hooks of one connection
--- a/src/include/sycamoredrum/metrics.h
+++ b/src/include/sycamoredrum/metrics.h
@@ -45,6 +45,8 @@
   kCallerSessions,
   kLeadership,
   kStoreEra,
+  kCallerLimits,
+  kCallerMemory,
 };
 
 /// Definition of a metric for its exposition and the documentation.
--- a/src/include/sycamoredrum/relay_platform.h
+++ b/src/include/sycamoredrum/relay_platform.h
@@ -8,6 +8,7 @@
 
 #include "sycamoredrum/backend_channel.h"
 #include "sycamoredrum/byte_stream.h"
+#include "sycamoredrum/caller_limits.h"
 #include "sycamoredrum/coordination_store.h"
 #include "sycamoredrum/primary_authority.h"
 #include "sycamoredrum/relay_configuration.h"
@@ -29,6 +30,12 @@
   virtual void Close() = 0;
   /// Closes as soon as Idle() is true, possibly immediately.
   virtual void CloseWhenIdle() = 0;
+  /// The connection may read again; see CallerLimitHooks::resume.
+  virtual void ResumeReading() = 0;
+  /// Closes the socket and releases what the connection holds. If the caller has a request of which
+  /// nothing was sent to a backend server, and only that, it is told so. The session does not end
+  /// before Close, because it may be in use.
+  virtual void Drop() = 0;
 };
 
 /// Services that a platform provides to the relay, and the conversion between its messages and the
@@ -60,9 +67,10 @@
   std::function<std::optional<BackendServerRecord>(const KeyValue& item, std::string& reason)>
       decode_server;
   /// Serves a caller's connection. `closed` runs when the caller or the session has ended the
-  /// connection; `reason` is empty if the relay closed it.
+  /// connection; `reason` is empty if the relay closed it. The connection reports to `usage` what
+  /// it holds.
   std::function<std::shared_ptr<CallerConnection>(
-      std::shared_ptr<ByteStream>, OpenCallerSession,
+      std::shared_ptr<ByteStream>, std::unique_ptr<CallerUsage> usage, OpenCallerSession,
       std::function<void(const std::string& reason)> closed)>
       serve_caller;
 };
--- a/src/include/sycamoredrum/relay_settings.h
+++ b/src/include/sycamoredrum/relay_settings.h
@@ -33,6 +33,15 @@
   double processor_share = 1;  ///< Fraction of a CPU core that the process gets on this VM.
   /// Limit of concurrent callers' sessions; each uses a file descriptor.
   std::size_t max_sessions = 3500;
+  /// Memory of the whole process in bytes; 0: what the operating system reports.
+  std::size_t memory_limit = 0;
+  std::size_t max_unopened_sessions = 1024;  ///< Callers' connections without a session.
+  std::size_t max_http_connections = 64;     ///< On the readiness and metrics ports, each.
+  /// File descriptors that are kept for everything but callers.
+  std::size_t descriptor_reserve = 384;
+  Duration open_session_timeout = std::chrono::seconds(10);
+  Duration message_progress_timeout = std::chrono::seconds(15);
+  Duration answer_progress_timeout = std::chrono::seconds(15);
 
   static constexpr std::size_t kMinFleetKeyBytes = 16;
 };
--- a/src/net/byte_stream.cc
+++ b/src/net/byte_stream.cc
@@ -43,6 +43,11 @@
   SetIntegerOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, interval);
   SetIntegerOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, interval);
   SetIntegerOption(socket, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+  if (options.system_buffer_bytes > 0) {
+    const int size = static_cast<int>(options.system_buffer_bytes);
+    SetIntegerOption(socket, SOL_SOCKET, SO_SNDBUF, size);
+    SetIntegerOption(socket, SOL_SOCKET, SO_RCVBUF, size);
+  }
 }
 
 class TcpByteStream : public ByteStream, public std::enable_shared_from_this<TcpByteStream> {
@@ -82,6 +87,23 @@
     this->closing = true;
     if (this->unsent.empty()) {
       this->Close();
+      return;
+    }
+    this->timer.expires_after(kCloseTimeout);
+    this->timer.async_wait([self = this->shared_from_this()](const error_code& cancelled) {
+      if (!cancelled) {
+        self->Close();
+      }
+    });
+  }
+
+  std::size_t UnsentBytes() const override { return this->unsent.size(); }
+
+  void PauseReading() override { this->paused = true; }
+
+  void ResumeReading() override {
+    if (std::exchange(this->paused, false) && this->open && !this->closed && !this->reading) {
+      this->WaitToRead();
     }
   }
 
@@ -92,6 +114,7 @@
     this->hooks = {};
     error_code ignored;
     this->timer.cancel(ignored);
+    this->unsent = {};
     this->socket.shutdown(tcp::socket::shutdown_both, ignored);
     this->socket.close(ignored);
   }
@@ -141,9 +164,11 @@
   }
 
   void WaitToRead() {
+    this->reading = true;
     this->socket.async_wait(tcp::socket::wait_read,
                             [self = this->shared_from_this()](const error_code& error) {
-                              if (!self->closed) {
+                              self->reading = false;
+                              if (!self->closed && !self->paused) {
                                 self->Read(error);
                               }
                             });
@@ -174,7 +199,7 @@
         this->Fail(absl::StrCat(kUnexpectedError, unexpected.what()));
       }
     }
-    if (!this->closed) {
+    if (!this->closed && !this->paused && !this->reading) {
       this->WaitToRead();
     }
   }
@@ -206,11 +231,19 @@
       return;
     }
     this->unsent.erase(0, sent);
+    if (this->unsent.empty()) {
+      this->unsent = {};  // Releases the memory of a large response.
+    }
     if (!this->unsent.empty()) {
       this->WaitToWrite();
     } else if (this->closing) {
       this->Close();
     }
+    if (sent > 0 && this->hooks.sent) {
+      // The copy keeps the hook alive: it may close the stream, which destroys `hooks`.
+      const auto report = this->hooks.sent;
+      report();
+    }
   }
 
   void FailLater(const std::string& reason) {
@@ -235,6 +268,8 @@
   ByteStreamHooks hooks;
   std::string unsent;
   bool open = false;     // The connection was established.
+  bool paused = false;   // PauseReading was called.
+  bool reading = false;  // A wait until the socket is readable is pending.
   bool writing = false;  // A wait until the socket is writable is pending.
   bool closing = false;  // CloseAfterSending was called.
   bool closed = false;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/dispatch.hpp>
@@ -36,6 +37,8 @@
   void AcceptQueued();
   void OnAccept(tcp::socket socket);
   void StartSession(tcp::socket socket, const Endpoint& remote);
+  /// Removes the oldest session without a complete request. `mutex` must be held.
+  std::shared_ptr<HttpSession> TakeOldestWaiting();
   void OnClosed(std::uint64_t id);
   void Count(HttpSessionEvent event);
   void ReportIfFinished();
@@ -118,8 +121,12 @@
     self->Count(event);
   };
   std::shared_ptr<HttpSession> session;
+  std::shared_ptr<HttpSession> replaced;
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
+    if (this->sessions.size() >= this->limits.max_connections && this->limits.replace_oldest) {
+      replaced = this->TakeOldestWaiting();
+    }
     if (this->stopping || this->sessions.size() >= this->limits.max_connections) {
       ++this->stats.refused;
       return;
@@ -133,9 +140,25 @@
       session->AnnounceClose();
     }
   }
+  if (replaced != nullptr) {
+    replaced->Close();
+  }
   session->Start();
 }
 
+std::shared_ptr<HttpSession> HttpServer::State::TakeOldestWaiting() {
+  const auto found =
+      std::find_if(this->sessions.begin(), this->sessions.end(),
+                   [](const auto& entry) { return entry.second->WaitsForRequest(); });
+  if (found == this->sessions.end()) {
+    return nullptr;
+  }
+  std::shared_ptr<HttpSession> session = found->second;
+  this->sessions.erase(found);
+  ++this->stats.refused;
+  return session;
+}
+
 void HttpServer::State::OnClosed(std::uint64_t id) {
   if (this->hooks.closed) {
     this->hooks.closed(id);
--- a/src/net/http_session.h
+++ b/src/net/http_session.h
@@ -42,6 +42,12 @@
   void Close();
   void Respond(HttpResponse response);
 
+  /// True if no request was received completely that is not answered yet. Thread-safe.
+  bool WaitsForRequest() const {
+    const Phase present = this->phase;
+    return present == Phase::kIdle || present == Phase::kReading || present == Phase::kLingering;
+  }
+
   std::uint64_t Id() const { return this->id; }
   const Endpoint& Remote() const { return this->remote; }
 
@@ -75,7 +81,7 @@
   boost::beast::flat_buffer buffer;
   std::optional<Parser> parser;
   Response response;
-  Phase phase = Phase::kIdle;
+  std::atomic<Phase> phase{Phase::kIdle};
   bool close_after_response = false;
   std::size_t lingered_bytes = 0;
 };
--- a/src/net/peer_server.cc
+++ b/src/net/peer_server.cc
@@ -154,6 +154,11 @@
     this->Close(session->handle, status::policy_violation);
     return;
   }
+  websocketpp::lib::error_code error;
+  // This runs on the strand of the connection, in its message handler.
+  if (const auto connection = this->endpoint.get_con_from_hdl(session->handle, error)) {
+    connection->set_max_message_size(kMaxPeerFrameBytes);
+  }
   PeerFrame welcome;
   welcome.type = PeerFrameType::kWelcome;
   welcome.proof = MakeProof(this->identity.fleet_key, "server", session->nonce, hello);
--- a/src/net/peer_websocket.h
+++ b/src/net/peer_websocket.h
@@ -17,10 +17,14 @@
 /// PeerLink fails further requests, and PeerServer closes the link.
 constexpr std::size_t kMaxPeerUnsentBytes = 4 * kMaxPeerFrameBytes;
 
+/// Maximum size of a frame from a peer that has not proved that it knows the fleet key.
+constexpr std::size_t kMaxPeerHelloBytes = std::size_t{16} * 1024;
+
 // websocketpp prescribes the names and types of these constants.
 // NOLINTBEGIN(readability-identifier-naming, google-runtime-int)
 struct PeerServerConfig : public websocketpp::config::asio {
-  static const size_t max_message_size = kMaxPeerFrameBytes;
+  // PeerServer raises it to kMaxPeerFrameBytes after the hello.
+  static const size_t max_message_size = kMaxPeerHelloBytes;
   // In ms. Limits how long the close handshake with an unreachable peer keeps the link open.
   static const long timeout_close_handshake = 1000;
 };
--- a/src/relay_daemon/relay_daemon.cc
+++ b/src/relay_daemon/relay_daemon.cc
@@ -11,6 +11,7 @@
 #include <set>
 #include <utility>
 
+#include "caller_acceptance.h"
 #include "fleet_member.h"
 #include "sycamoredrum/boottime_clock.h"
 #include "sycamoredrum/byte_stream.h"
@@ -63,6 +64,7 @@
         ReloadRelaySettings reload)
       : settings(std::move(new_settings)),
         reload(std::move(reload)),
+        acceptance(this->settings, this->clock, this->logger, this->metrics),
         loop(1),
         logger(this->settings.log_level, this->settings.log_format, this->clock,
                Logger::StandardOutput()),
@@ -87,10 +89,10 @@
                        StoreMirrorOptions{this->platform.servers_prefix, std::chrono::seconds(2),
                                           kServersWatchInterval, std::nullopt},
                        this->MakeServersMirrorHooks(), this->clock, this->loop, this->random),
-        ready_server(this->loop, HttpServerLimits{}, this->MakeReadyHooks()),
-        metrics_server(this->loop, HttpServerLimits{}, this->MakeMetricsHooks()),
+        ready_server(this->loop, CheckPortLimits(this->settings), this->MakeReadyHooks()),
+        metrics_server(this->loop, CheckPortLimits(this->settings), this->MakeMetricsHooks()),
         caller_server(
-            this->loop, ByteStreamOptions{},
+            this->loop, CallerStreamOptions(),
             [this](std::shared_ptr<ByteStream> stream) { this->AcceptCaller(std::move(stream)); }),
         started(this->clock.Now()) {}
 
@@ -111,6 +113,7 @@
   StoreMirrorHooks MakeServersMirrorHooks();
   HttpServerHooks MakeReadyHooks();
   HttpServerHooks MakeMetricsHooks();
+  CallerLimitHooks MakeAcceptanceHooks();
 
   bool Start();
   bool Listen();
@@ -128,6 +131,7 @@
   RelaySettings settings;
   ReloadRelaySettings reload;
   BoottimeClock clock;
+  CallerAcceptance acceptance;  ///< Outlives the connections that the loop still holds.
   EventLoop loop;
   Metrics metrics;
   Logger logger;
@@ -285,6 +289,7 @@
       this->metrics.Set(Metric::kCallerSessions, {}, static_cast<double>(this->callers.size()));
       this->metrics.Set(Metric::kOpenTransactions, {},
                         static_cast<double>(this->relay.OpenTransactions()));
+      this->acceptance.PublishMetrics();
       response.headers = {{"Content-Type", "text/plain; version=0.0.4"}};
       response.body = this->metrics.Expose();
     } else {
@@ -295,6 +300,26 @@
   return hooks;
 }
 
+CallerLimitHooks RelayDaemon::State::MakeAcceptanceHooks() {
+  CallerLimitHooks hooks;
+  hooks.resume = [this](std::uint64_t number) {
+    const auto found = this->callers.find(number);
+    if (found != this->callers.end()) {
+      found->second->ResumeReading();
+    }
+  };
+  hooks.close = [this](std::uint64_t number, LimitKind) {
+    const auto found = this->callers.find(number);
+    if (found == this->callers.end()) {
+      return;
+    }
+    found->second->Drop();
+    // Deferred, because a method of the session may be running.
+    this->loop.Post([caller = found->second] { caller->Close(); });
+  };
+  return hooks;
+}
+
 bool RelayDaemon::State::Listen() {
   const auto failed = [this](const std::string& reason) {
     this->last_reason = reason;
@@ -324,6 +349,7 @@
                                 {"callers", this->settings.caller_address.ToString()},
                                 {"peers", this->settings.peer_address.ToString()},
                                 {"store", this->settings.store_address.ToString()}});
+  this->acceptance.Start(this->MakeAcceptanceHooks());
   this->configuration_mirror.Start();
   this->servers_mirror.Start();
   this->loop.OnStopSignal([this](int signal) { this->BeginStop(signal); });
@@ -362,8 +388,7 @@
 }
 
 void RelayDaemon::State::AcceptCaller(std::shared_ptr<ByteStream> stream) {
-  if (this->callers.size() >= this->settings.max_sessions || this->ended) {
-    this->logger.Warning("caller_refused", {{"sessions", absl::StrCat(this->callers.size())}});
+  if (this->ended || !this->acceptance.MayAccept(this->callers.size())) {
     // A stream starts only when its hooks are set; it is closed immediately.
     stream->SetHooks({});
     stream->Close();
@@ -371,7 +396,7 @@
   }
   const std::uint64_t number = this->next_caller++;
   this->callers[number] = this->platform.serve_caller(
-      std::move(stream),
+      std::move(stream), this->acceptance.Add(number),
       [this](const SessionRequest& request, CallerSessionHooks hooks) {
         OpenedSession opened = this->relay.Open(request, std::move(hooks));
         if (!opened.session) {
@@ -407,6 +432,7 @@
   }
   this->servers.Tick();
   this->relay.Tick();
+  this->acceptance.Tick();
   this->member.Tick();
   const bool cut_off = this->member.CutOff();
   if (std::exchange(this->cut_off, cut_off) != cut_off) {
@@ -439,6 +465,7 @@
   }
   this->settings.stop_grace = changed->stop_grace;
   this->settings.max_sessions = changed->max_sessions;
+  this->acceptance.SetMaxSessions(changed->max_sessions);
   this->logger.Info(
       "settings_reloaded",
       {{"stop_grace_ms",
@@ -532,6 +559,7 @@
 RelayDaemon::~RelayDaemon() {
   this->state->loop.Stop();
   this->state->loop.Join();
+  this->state->acceptance.Stop();
 }
 
 bool RelayDaemon::Start() {
--- a/src/relay_daemon/relay_settings.cc
+++ b/src/relay_daemon/relay_settings.cc
@@ -16,6 +16,24 @@
                           {"metrics-address", settings.metrics_address}});
 }
 
+void ReadCallerLimits(RelaySettings& settings, SettingReader& reader) {
+  constexpr std::size_t kMebibyte = std::size_t{1024} * 1024;
+  const Duration shortest = std::chrono::milliseconds(100);
+  const Duration longest = std::chrono::hours(1);
+  if (!reader.OptionalText("memory-limit").empty()) {
+    settings.memory_limit = reader.Size("memory-limit", 40 * kMebibyte, kMebibyte * kMebibyte);
+  }
+  settings.max_unopened_sessions =
+      static_cast<std::size_t>(reader.Number("max-unopened-sessions", 1, 1e6));
+  settings.max_http_connections =
+      static_cast<std::size_t>(reader.Number("max-http-connections", 2, 1e6));
+  settings.descriptor_reserve =
+      static_cast<std::size_t>(reader.Number("descriptor-reserve", 1, 1e6));
+  settings.open_session_timeout = reader.Time("open-session-timeout", shortest, longest);
+  settings.message_progress_timeout = reader.Time("message-progress-timeout", shortest, longest);
+  settings.answer_progress_timeout = reader.Time("answer-progress-timeout", shortest, longest);
+}
+
 }  // namespace
 
 const std::vector<SettingInfo>& RelaySettingTable() {
@@ -33,6 +51,13 @@
       {"log-level", "info", "debug, info, warning or error"},
       {"log-format", "text", "text or json"},
       {"max-sessions", "3500", "Callers' sessions at the same time; each takes a descriptor"},
+      {"memory-limit", "", "Memory of the whole process; without it, what the system reports"},
+      {"max-unopened-sessions", "1024", "Callers' connections that have not opened a session"},
+      {"max-http-connections", "64", "Connections to the readiness and metrics ports, each"},
+      {"descriptor-reserve", "384", "File descriptors that callers cannot use"},
+      {"open-session-timeout", "10s", "Time from connecting to the first message of a caller"},
+      {"message-progress-timeout", "15s", "Time in which 1 KiB of a caller's message must arrive"},
+      {"answer-progress-timeout", "15s", "Time in which a caller must read 1 KiB of its answers"},
       {"processor-share", "1", "Part of a core that this VM gives the relay"},
       {"stop-grace", "6s", "Time from SIGTERM to the forced end of the process"},
   };
@@ -69,6 +94,7 @@
       reader.Time("stop-grace", std::chrono::milliseconds(500), std::chrono::seconds(600));
   settings.processor_share = reader.Number("processor-share", 0.01, 1024);
   settings.max_sessions = static_cast<std::size_t>(reader.Number("max-sessions", 1, 1e6));
+  ReadCallerLimits(settings, reader);
   CheckConsistency(settings, reader);
   if (!findings.Empty()) {
     return std::nullopt;
--- a/src/telemetry/metrics.cc
+++ b/src/telemetry/metrics.cc
@@ -175,6 +175,16 @@
        "sycamoredrum_store_era",
        "Era of the store: rises when the store returns from an older copy",
        {}},
+      {Metric::kCallerLimits,
+       MetricKind::kCounter,
+       "sycamoredrum_caller_limits_total",
+       "Callers' connections that were closed or refused at a limit, by limit",
+       {"limit"}},
+      {Metric::kCallerMemory,
+       MetricKind::kGauge,
+       "sycamoredrum_caller_memory_bytes",
+       "Memory that callers' connections hold, by part, and the budget",
+       {"part"}},
   };
   return *table;
 }
