--- a/src/net/byte_stream_test.cc
+++ b/src/net/byte_stream_test.cc
@@ -3,6 +3,8 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <atomic>
+#include <chrono>
 #include <future>
 #include <memory>
 #include <stdexcept>
@@ -53,5 +55,42 @@
   loop.Join();
 }
 
+// Guards against a connection that the relay still reads, or never reads again, after its caller
+// had to wait.
+TEST(ByteStreamTest, PausedStreamReadsAfterItResumes) {
+  EventLoop loop(1);
+  std::promise<std::shared_ptr<ByteStream>> accepted;
+  std::promise<std::string> received;
+  std::atomic<bool> arrived{false};
+  ByteStreamServer server(loop, ByteStreamOptions{}, [&](std::shared_ptr<ByteStream> stream) {
+    ByteStreamHooks hooks;
+    hooks.received = [&](std::string_view bytes) {
+      arrived = true;
+      received.set_value(std::string(bytes));
+    };
+    hooks.closed = [](const std::string&) {};
+    stream->SetHooks(std::move(hooks));
+    stream->PauseReading();
+    accepted.set_value(std::move(stream));
+  });
+  const auto port = server.Listen(Endpoint{"127.0.0.1", 0});
+  ASSERT_TRUE(port);
+  server.Accept();
+  const RawSocket peer = RawSocket::ConnectTo(*port);
+  peer.Send("one");
+  const std::shared_ptr<ByteStream> stream = accepted.get_future().get();
+  std::promise<bool> checked;
+  // By then, a stream that reads would have received the bytes.
+  loop.RunAfter(std::chrono::milliseconds(100), [&] {
+    checked.set_value(arrived);
+    stream->ResumeReading();
+  });
+  EXPECT_FALSE(checked.get_future().get());
+  EXPECT_EQ(received.get_future().get(), "one");
+  server.Stop();
+  loop.Stop();
+  loop.Join();
+}
+
 }  // namespace
 }  // namespace sycamoredrum
