--- a/src/include/sycamoredrum/caller_limits.h
+++ b/src/include/sycamoredrum/caller_limits.h
@@ -126,7 +126,8 @@
   /// Least progress of a message or of the responses in each period of their time limit.
   static constexpr std::size_t kMinProgressBytes = 1024;
   /// While others wait for the permission to receive a large message, it is withdrawn from a
-  /// connection without progress for this time. A link of 2 Mbit/s delivers 250 KB in it.
+  /// connection whose message or responses make no progress for this time. A link of 2 Mbit/s
+  /// delivers 250 KB in it.
   static constexpr Duration kStalledAfter = std::chrono::seconds(1);
 
   CallerLimits(CallerLimitOptions options, CallerLimitHooks hooks, const Clock& clock);
--- a/src/include/sycamoredrum/relay_settings.h
+++ b/src/include/sycamoredrum/relay_settings.h
@@ -44,6 +44,8 @@
   Duration answer_progress_timeout = std::chrono::seconds(15);
 
   static constexpr std::size_t kMinFleetKeyBytes = 16;
+  /// In bytes. Below it, too little is left for callers.
+  static constexpr std::size_t kMinMemoryLimit = std::size_t{40} * 1024 * 1024;
 };
 
 /// Names, defaults and descriptions of all settings.
--- a/src/limits/caller_limits.cc
+++ b/src/limits/caller_limits.cc
@@ -289,9 +289,12 @@
       this->now - usage.answer_progress > this->options.answer_progress_timeout) {
     return &kAnswer;
   }
-  if (usage.large && receives && !usage.paused && !this->large_queue.empty() &&
-      this->now - usage.message_progress > kStalledAfter) {
-    return &kShort;
+  if (usage.large && !this->large_queue.empty()) {
+    const bool message_stalled =
+        receives && !usage.paused && this->now - usage.message_progress > kStalledAfter;
+    const bool answer_stalled = usage.held[static_cast<std::size_t>(BudgetPart::kResponses)] > 0 &&
+                                this->now - usage.answer_progress > kStalledAfter;
+    return message_stalled || answer_stalled ? &kShort : nullptr;
   }
   return nullptr;
 }
--- a/src/limits/caller_limits_test.cc
+++ b/src/limits/caller_limits_test.cc
@@ -162,6 +162,17 @@
   EXPECT_EQ(this->resumed, std::vector<std::uint64_t>{3});
 }
 
+// Guards against callers that keep the permission for large messages by not reading their answers.
+TEST_F(CallerLimitsTest, LargeMessageWithUnreadAnswersGivesWayToThoseThatWait) {
+  EXPECT_TRUE(this->Open(1).RequestLarge());
+  EXPECT_TRUE(this->Open(2).RequestLarge());
+  this->usages[1]->SetUnsent(90 * kKibibyte);
+  EXPECT_FALSE(this->Open(3).RequestLarge());
+  this->Advance(seconds(2));
+  EXPECT_EQ(this->closed, (std::map<std::uint64_t, LimitKind>{{1, LimitKind::kMemory}}));
+  EXPECT_EQ(this->resumed, std::vector<std::uint64_t>{3});
+}
+
 // Guards against memory that counts as used after its connection has ended.
 TEST_F(CallerLimitsTest, EndedConnectionsHoldNothing) {
   CallerUsage& usage = this->Open(1);
--- a/src/net/raw_socket.h
+++ b/src/net/raw_socket.h
@@ -39,7 +39,8 @@
   static RawSocket ListenOnLoopback(int backlog = 16) {
     RawSocket socket(::socket(AF_INET, SOCK_STREAM, 0));
     const sockaddr_in address = Loopback(0);
-    bind(socket.descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    static_cast<void>(
+        bind(socket.descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address)));
     listen(socket.descriptor, backlog);
     return socket;
   }
--- a/src/relay_daemon/caller_acceptance.cc
+++ b/src/relay_daemon/caller_acceptance.cc
@@ -22,7 +22,8 @@
     LimitKind::kAnswerProgress, LimitKind::kMemory,           LimitKind::kSessions};
 
 std::size_t MemoryLimit(const RelaySettings& settings) {
-  return settings.memory_limit > 0 ? settings.memory_limit : AvailableMemory();
+  return settings.memory_limit > 0 ? settings.memory_limit
+                                   : std::max(AvailableMemory(), RelaySettings::kMinMemoryLimit);
 }
 
 CallerLimitOptions MakeOptions(const RelaySettings& settings) {
--- a/src/relay_daemon/relay_settings.cc
+++ b/src/relay_daemon/relay_settings.cc
@@ -21,7 +21,8 @@
   const Duration shortest = std::chrono::milliseconds(100);
   const Duration longest = std::chrono::hours(1);
   if (!reader.OptionalText("memory-limit").empty()) {
-    settings.memory_limit = reader.Size("memory-limit", 40 * kMebibyte, kMebibyte * kMebibyte);
+    settings.memory_limit =
+        reader.Size("memory-limit", RelaySettings::kMinMemoryLimit, kMebibyte * kMebibyte);
   }
   settings.max_unopened_sessions =
       static_cast<std::size_t>(reader.Number("max-unopened-sessions", 1, 1e6));
--- a/testsuite/misbehaving_callers/crowd.cc
+++ b/testsuite/misbehaving_callers/crowd.cc
@@ -63,15 +63,18 @@
 
 std::string_view Crowd::Next(std::size_t sent) const {
   const CrowdBehaviour& all = this->behaviour;
+  std::string_view part = all.opening;
   if (sent < all.opening.size()) {
-    return std::string_view(all.opening).substr(sent);
+    return part.substr(sent);
   }
   sent -= all.opening.size();
   const std::size_t middle = all.repeated.size() * all.repetitions;
   if (sent < middle) {
-    return std::string_view(all.repeated).substr(sent % all.repeated.size());
+    part = all.repeated;
+    return part.substr(sent % all.repeated.size());
   }
-  return std::string_view(all.ending).substr(std::min(sent - middle, all.ending.size()));
+  part = all.ending;
+  return part.substr(std::min(sent - middle, all.ending.size()));
 }
 
 bool Crowd::Send(Member& member) {
@@ -104,7 +107,7 @@
   if (member.descriptor < 0 || this->behaviour.read == 0) {
     return false;
   }
-  std::array<char, 64 * 1024> buffer;
+  std::array<char, kBytesPerPass> buffer;
   const ssize_t count = recv(member.descriptor, buffer.data(),
                              std::min(this->behaviour.read, buffer.size()), MSG_DONTWAIT);
   if (count == 0 || (count < 0 && errno != EAGAIN)) {
--- a/testsuite/misbehaving_callers/crowd.h
+++ b/testsuite/misbehaving_callers/crowd.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace sycamoredrum {
