Count the variables and prepared statements of callers' sessions

They stay in the session after their statement is answered, so that a caller could fill the memory with SET and PREPARE. They now count in the budget, once for each name. Sessions that hold at most 32 KiB of them are not visited in each tick and are not closed for memory; in the choice of the connections to close, at most 10 s without progress count, so that sessions idle for hours do not precede a flood.

--- a/src/include/sycamoredrum/caller_limits.h
+++ b/src/include/sycamoredrum/caller_limits.h
@@ -16,7 +16,7 @@
 /// Parts of the memory that callers make the process hold.
 enum class BudgetPart {
   kInput,       ///< Received bytes that are not a complete statement, or wait to be handled.
-  kStatements,  ///< Statements that are queued or in progress.
+  kStatements,  ///< Statements that are queued or in progress, and the state of sessions.
   kResponses,   ///< Responses that the caller has not read.
 };
 inline constexpr std::size_t kBudgetParts = 3;
@@ -91,7 +91,7 @@
   CallerUsage(CallerLimits& limits, std::uint64_t id, TimePoint now);
 
   std::size_t Held() const;
-  bool Idle() const { return this->opened && this->Held() == 0 && !this->waiting && !this->large; }
+  bool Idle() const;
 
   CallerLimits& limits;
   const std::uint64_t id;
--- a/src/limits/caller_limits.cc
+++ b/src/limits/caller_limits.cc
@@ -14,6 +14,9 @@
 // Share of the rest that callers may use. The allocator and short-lived copies need the other part.
 constexpr double kCallersShare = 0.6;
 
+// Longest time without progress that counts for the choice of the connections to close.
+constexpr Duration kLongestCounted = std::chrono::seconds(10);
+
 }  // namespace
 
 std::string_view ToString(BudgetPart part) {
@@ -75,6 +78,14 @@
 
 std::size_t CallerUsage::Held() const { return this->held[0] + this->held[1] + this->held[2]; }
 
+// Sessions with some variables and no work in progress need no visits in Tick.
+bool CallerUsage::Idle() const {
+  return this->opened && !this->waiting && !this->large &&
+         this->held[static_cast<std::size_t>(BudgetPart::kInput)] == 0 &&
+         this->held[static_cast<std::size_t>(BudgetPart::kResponses)] == 0 &&
+         this->Held() <= CallerLimits::kLargeMessageBytes;
+}
+
 void CallerUsage::SessionOpened() {
   this->opened = true;
   this->limits.unopened.erase(this->id);
@@ -219,8 +230,9 @@
   for (const auto& [id, usage] : this->watched) {
     if (!usage->large && usage->Held() > 0) {
       // The least time makes the size decide between connections that all made progress just now.
-      const double seconds =
-          std::chrono::duration<double>(this->now - usage->last_progress).count() + 0.05;
+      // The greatest time keeps sessions that are idle for hours from being closed before floods.
+      const Duration without_progress = std::min(this->now - usage->last_progress, kLongestCounted);
+      const double seconds = std::chrono::duration<double>(without_progress).count() + 0.05;
       holders.emplace_back(static_cast<double>(usage->Held()) * seconds, usage);
     }
   }
