--- a/src/relay_daemon/fleet_messages_test.cc
+++ b/src/relay_daemon/fleet_messages_test.cc
@@ -246,6 +246,26 @@
   EXPECT_EQ(findings.Items().size(), 3U) << findings.ToString();
 }
 
+// Guards against a limit that is read into another one's place, and against one too low to serve.
+TEST(RelaySettingsTest, LimitsOfCallers) {
+  const std::string file = std::string(kSettings) + "fleet-key = a key of at least sixteen\n";
+  Findings findings;
+  const auto settings = ParseRelaySettings(
+      {"--memory-limit=112MiB", "--max-unopened-sessions=7", "--max-http-connections=8",
+       "--descriptor-reserve=9", "--open-session-timeout=1s", "--message-progress-timeout=2s",
+       "--answer-progress-timeout=3s"},
+      NoEnvironment, file, findings);
+  ASSERT_TRUE(settings) << findings.ToString();
+  EXPECT_EQ(settings->memory_limit, std::size_t{112} * 1024 * 1024);
+  EXPECT_EQ(settings->max_unopened_sessions, 7U);
+  EXPECT_EQ(settings->max_http_connections, 8U);
+  EXPECT_EQ(settings->descriptor_reserve, 9U);
+  EXPECT_EQ(settings->open_session_timeout, Duration(std::chrono::seconds(1)));
+  EXPECT_EQ(settings->message_progress_timeout, Duration(std::chrono::seconds(2)));
+  EXPECT_EQ(settings->answer_progress_timeout, Duration(std::chrono::seconds(3)));
+  EXPECT_FALSE(ParseRelaySettings({"--memory-limit=39MiB"}, NoEnvironment, file, findings));
+}
+
 TEST(RelaySettingsTest, UnknownLinesOfTheFileAreReported) {
   Findings findings;
   EXPECT_FALSE(
