--- a/src/include/sycamoredrum/metrics.h
+++ b/src/include/sycamoredrum/metrics.h
@@ -48,6 +48,8 @@
   kOrganisationOperations,
   kAllowanceTokens,
   kAllowanceParts,
+  kCallerLimits,
+  kCallerMemory,
 };
 
 /// Definition of a metric for its exposition and the documentation.
--- a/src/telemetry/metrics.cc
+++ b/src/telemetry/metrics.cc
@@ -190,6 +190,16 @@
        "sycamoredrum_allowance_parts",
        "Parts of the organisations' rates that this proxy grants tokens of",
        {}},
+      {Metric::kCallerLimits,
+       MetricKind::kCounter,
+       "sycamoredrum_caller_limits_total",
+       "Callers' connections that were closed or refused at a limit, by limit",
+       {"limit"}},
+      {Metric::kCallerMemory,
+       MetricKind::kGauge,
+       "sycamoredrum_caller_memory_bytes",
+       "Memory that callers' connections hold, by part, and the budget",
+       {"part"}},
   };
   return *table;
 }
