Forward statements to the relays that hold a server's connections

With 86 to 115 relays and caps of 40 to 73 connections, a relay's part of a cap is below one connection, so most statements open a connection.

Where the cap is below kMinShare for each relay, a session sends a statement, or the statements of a transaction, to the holder that weighted rendezvous hashing over server and organisation gives. The holder runs it as a session of its own (ForwardedSessions) and never forwards it further. The caller's relay keeps the session's state. Nothing is forwarded unless the hook is set, a list of holders is known and the condition holds.

--- a/src/include/sycamoredrum/metrics.h
+++ b/src/include/sycamoredrum/metrics.h
@@ -45,6 +45,7 @@
   kCallerSessions,
   kLeadership,
   kStoreEra,
+  kForwardedStatements,
 };
 
 /// Definition of a metric for its exposition and the documentation.
--- a/src/include/sycamoredrum/session_relay.h
+++ b/src/include/sycamoredrum/session_relay.h
@@ -19,6 +19,7 @@
 #include "sycamoredrum/primary_grants.h"
 #include "sycamoredrum/relay_configuration.h"
 #include "sycamoredrum/statement.h"
+#include "sycamoredrum/statement_forwarding.h"
 
 namespace sycamoredrum {
 
@@ -61,6 +62,7 @@
 
 struct SessionRelayOptions {
   std::string data_centre;  ///< Data centre of this process.
+  std::string member = {};  ///< Member name of this process in the fleet.
 };
 
 /// Answer of SessionRelayHooks::admit.
@@ -81,6 +83,11 @@
   std::function<void(const std::string& organisation, TimePoint deadline,
                      std::function<void(const AdmissionVerdict&)> done)>
       admit = nullptr;
+  /// Optional. Sends a statement to a relay that holds connections; if not set, no statement is
+  /// forwarded. See SessionRelay::SetConnectionHolders.
+  ForwardStatement forward = nullptr;
+  /// Must be set if `forward` is.
+  EndForwardedSession end_forwarded = nullptr;
 };
 
 /// First message of a caller.
@@ -155,6 +162,9 @@
   void SetShares(const std::map<std::string, int>& connections);
   /// Sets the number of processes that share the servers' connection caps.
   void SetFleetSize(std::size_t processes);
+  /// Sets the relays that hold connections to backend servers. Statements for servers that admit
+  /// too few connections for all processes are forwarded to them; see ForwardingApplies.
+  void SetConnectionHolders(const std::vector<ConnectionHolder>& holders);
   /// To be called after a change of the grants. Resumes statements that wait for a primary or for a
   /// position of its log.
   void GrantsChanged();
--- a/src/relay/caller_session.cc
+++ b/src/relay/caller_session.cc
@@ -185,6 +185,7 @@
   const Duration limit = this->route.statement_timeout > Duration::zero()
                              ? this->route.statement_timeout
                              : kDefaultStatementTimeout;
+  next.arrived -= this->TimeSpentBySender(limit);
   next.deadline = next.arrived + limit;
   const bool read_write_transaction =
       this->transaction == TransactionState::kOpen && !this->read_only;
@@ -192,7 +193,7 @@
                        read_write_transaction || this->Writes(next.statement);
   next.number = this->next_statement_number++;
   this->active = std::move(next);
-  this->RunLater(limit, [this] {
+  this->RunLater(this->active->deadline - this->Now(), [this] {
     this->EndStatement(this->active->sent ? "no answer within the statement's time limit"
                                           : "no server could take the statement in time");
   });
@@ -243,6 +244,10 @@
 }
 
 void RelayCallerSession::LogOutcome(const StatementResult& result) const {
+  if (this->origin) {
+    // The relay with the caller's session counts and logs the statement.
+    return;
+  }
   const Duration elapsed = this->Now() - this->active->arrived;
   const std::string outcome =
       result.error ? std::string(ToString(result.error->code)) : std::string("result");
@@ -264,6 +269,9 @@
       {"sent", this->active->sent ? "true" : "false"},
       {"server", this->active->server},
       {"needs_primary", this->active->needs_primary ? "true" : "false"}};
+  if (!this->active->holder.empty()) {
+    fields.push_back({"holder", this->active->holder});
+  }
   if (this->active->grant) {
     fields.push_back({"generation", absl::StrCat(this->active->grant->generation)});
     fields.push_back(
@@ -293,6 +301,7 @@
 }
 
 void RelayCallerSession::RollBackAndRelease() {
+  this->EndRemoteSession();
   if (!this->held) {
     return;
   }
@@ -356,6 +365,10 @@
     }
     return;
   }
+  if (this->remote) {
+    this->CheckHolder(now);
+    return;
+  }
   const bool repeatable = this->active->sent && this->transaction == TransactionState::kNone &&
                           !this->Writes(this->active->statement);
   if (!repeatable || now - this->active->sent_at < SessionRelay::kReadRetryTimeout) {
--- a/src/relay/caller_session.h
+++ b/src/relay/caller_session.h
@@ -36,6 +36,8 @@
   }
   /// True if a statement is in progress.
   bool Busy() const { return this->active.has_value(); }
+  /// Runs a statement for another relay, on which the caller's session is. Replies once.
+  void RunForwarded(const ForwardedStatement& message);
 
  private:
   /// Delay before a retry at a server that is not the primary yet or lacks the required position.
@@ -63,9 +65,29 @@
     bool suspended = false;  ///< Waits for a primary or a log position; see ResumeDispatch.
     bool sent = false;       ///< The statement itself, not only its setup, was sent.
     TimePoint sent_at;
-    std::string server;                 ///< Server that it was last sent to.
-    std::optional<PrimaryGrant> grant;  ///< Grant under which it was last sent.
-    std::uint64_t number = 0;           ///< Unique in the session.
+    std::string server;                   ///< Server that it was last sent to.
+    std::optional<PrimaryGrant> grant;    ///< Grant under which it was last sent.
+    std::uint64_t number = 0;             ///< Unique in the session.
+    std::string holder;                   ///< Holder that it was last sent to, if it was forwarded.
+    std::set<std::string> tried_holders;  ///< Holders that did not run it.
+    bool own_connection = false;          ///< Is not forwarded any more.
+    /// Set if a holder had no room for it.
+    std::optional<Duration> no_room_retry_after;
+  };
+
+  /// Session at a holder, for one forwarded statement or transaction.
+  struct RemoteSession {
+    ConnectionHolder holder;
+    std::string server;  ///< Backend server that was chosen.
+    std::uint64_t session = 0;
+    std::uint64_t next_number = 1;
+  };
+
+  /// What another relay sent with the statement that this session runs for it.
+  struct ForwardedOrigin {
+    std::string organisation;
+    std::string server;
+    Duration time_left{};
   };
 
   /// The backend connection that this session has leased.
@@ -115,6 +137,27 @@
   void OnConnectionLost();
   void OnRefusedByServer(const StatementResult& refusal);
   void OnAnswer(const StatementResult& result);
+  /// Organisation whose connections the statements use.
+  const std::string& Organisation() const;
+  /// Sends the active statement to the holder of the connections to `server`, or refuses it if the
+  /// holders are overloaded. Returns false if this relay's own connections are to be used.
+  bool ForwardToHolder(const RelayServer& server);
+  void SendToHolder();
+  void OnHolderAnswer(const ForwardAnswer& answer);
+  void OnHolderResult(const StatementResult& answer);
+  void OnNotRunByHolder(const ForwardAnswer& answer);
+  void OnHolderLost(const std::string& reason);
+  /// Rolls the transaction at the holder back and answers the active statement with kAborted.
+  void AbortAtHolder(const std::string& reason);
+  /// Ends the session at the holder, if there is one.
+  void EndRemoteSession();
+  /// Excludes the holder of the active statement from new statements if it does not respond, and
+  /// repeats a read on this relay's own connections.
+  void CheckHolder(TimePoint now);
+  /// Part of the time limit that was used up before another relay forwarded the statement.
+  Duration TimeSpentBySender(Duration limit) const;
+  /// Server that the relay that forwarded this read has chosen, if it is usable.
+  std::optional<std::string> ServerOfSender() const;
   /// How long the active statement may wait for a connection.
   Duration MaxWait() const;
   /// Retries a failed read at another server. Returns false if `answer` is final.
@@ -162,6 +205,8 @@
   std::string abort_reason;  ///< Why the transaction failed while no statement ran.
   TimePoint last_activity;
   std::optional<HeldConnection> held;
+  std::optional<RemoteSession> remote;    ///< Excludes `held`.
+  std::optional<ForwardedOrigin> origin;  ///< Set if the caller's session is on another relay.
   std::optional<ActiveStatement> active;
   std::deque<Statement> queue;  ///< Statements that arrived while another was in progress.
   std::uint64_t next_statement_number = 1;
--- a/src/relay/caller_session_dispatch.cc
+++ b/src/relay/caller_session_dispatch.cc
@@ -49,6 +49,10 @@
     this->Prepare();
     return;
   }
+  if (this->remote) {
+    this->SendToHolder();
+    return;
+  }
   if (++this->active->tries > SessionRelay::kMaxAttempts) {
     this->Refuse(absl::StrCat("too many attempts, the last one: ", this->active->last_failure),
                  kBusyRetryDelay);
@@ -72,8 +76,10 @@
     }
     return;
   }
-  const std::optional<std::string> server =
-      this->relay.ChooseReadServer(this->route.database, this->active->tried);
+  std::optional<std::string> server = this->ServerOfSender();
+  if (!server) {
+    server = this->relay.ChooseReadServer(this->route.database, this->active->tried);
+  }
   if (!server) {
     this->active->tried.clear();
     if (this->Now() < this->active->arrived + this->MaxWait()) {
@@ -126,6 +132,9 @@
 void RelayCallerSession::Acquire(const std::string& server_id, std::optional<PrimaryGrant> grant) {
   RelayServer* server = this->relay.FindServer(server_id);
   const TimePoint now = this->Now();
+  if (this->ForwardToHolder(*server)) {
+    return;
+  }
   if (server->unreachable_until > now && this->active->needs_primary) {
     --this->active->tries;
     this->RetryLater(std::min(server->unreachable_until - now, kCapRetryDelay),
@@ -139,6 +148,7 @@
   request.caller_group = this->route_name;
   request.weight = QueueWeight(this->route.priority);
   request.deadline = std::min(wait_until, this->active->deadline);
+  request.organisation = this->Organisation();
   request.cost = [server, self = this->shared_from_this()](ConnectionId connection) {
     const auto session = server->sessions.find(connection);
     return session == server->sessions.end() ? 0 : session->second->SetupCost(self->profile);
--- a/src/relay/caller_session_result.cc
+++ b/src/relay/caller_session_result.cc
@@ -202,6 +202,7 @@
   const bool committing = this->active->statement.kind == StatementKind::kCommit;
   const bool durable = committing ? this->wrote : this->Writes(this->active->statement);
   const bool in_transaction = this->transaction == TransactionState::kOpen;
+  this->EndRemoteSession();
   if (this->held) {
     RelayServer* server = this->relay.FindServer(this->held->server);
     if (sent && server != nullptr &&
--- a/src/relay/relay_state.h
+++ b/src/relay/relay_state.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "backend_session.h"
+#include "statement_forwarder.h"
 #include "sycamoredrum/connection_pool.h"
 #include "sycamoredrum/session_relay.h"
 
@@ -110,6 +111,7 @@
   RandomSource random;
   Logger& logger;
   Metrics& metrics;
+  StatementForwarder forwarder;
   std::shared_ptr<const RelayConfiguration> configuration;
   std::map<std::string, std::shared_ptr<RelayServer>> servers;
   /// Servers that are not at rest. A process of a large fleet uses few of all servers.
--- a/src/relay/session_relay.cc
+++ b/src/relay/session_relay.cc
@@ -46,6 +46,8 @@
       random(std::move(random)),
       logger(logger),
       metrics(metrics),
+      forwarder(this->options.member, this->hooks.forward, this->hooks.end_forwarded, clock, logger,
+                metrics),
       configuration(std::make_shared<RelayConfiguration>()),
       last_tick(clock.Now()) {}
 
@@ -61,6 +63,10 @@
 
 Duration SessionRelay::Impl::IdleTimeout(const RelayServer& server) const {
   const auto cap = this->configuration->connection_caps.find(server.record.database);
+  if (this->forwarder.IsHolder(server.record.data_centre)) {
+    // Other relays send their statements here, and the leader's share bounds the connections.
+    return kMaxIdleTimeout;
+  }
   return cap == this->configuration->connection_caps.end()
              ? kMaxIdleTimeout
              : IdleConnectionTimeout(cap->second, this->fleet_size, server.lease_rate);
@@ -414,6 +420,10 @@
 
 void SessionRelay::SetFleetSize(std::size_t processes) { this->impl->fleet_size = processes; }
 
+void SessionRelay::SetConnectionHolders(const std::vector<ConnectionHolder>& holders) {
+  this->impl->forwarder.SetHolders(holders);
+}
+
 void SessionRelay::SetCutOff(bool value) {
   if (std::exchange(this->impl->cut_off, value) == value || !value) {
     return;
--- a/src/telemetry/metrics.cc
+++ b/src/telemetry/metrics.cc
@@ -175,6 +175,11 @@
        "sycamoredrum_store_era",
        "Era of the store: rises when the store returns from an older copy",
        {}},
+      {Metric::kForwardedStatements,
+       MetricKind::kCounter,
+       "sycamoredrum_forwarded_statements_total",
+       "Statements sent to and received from other relays, by outcome",
+       {"direction", "outcome"}},
   };
   return *table;
 }
