Measure backend servers through holders and keep the sender's choice

A relay that forwards has no measurements of its own, so it would always choose the server with the shortest initial estimate. The time of the holder's answer and the statements in progress at holders now count in the choice of a server for a read.

--- a/src/relay/caller_session_forwarding.cc
+++ b/src/relay/caller_session_forwarding.cc
@@ -76,14 +76,25 @@
   this->active->server = this->remote->server;
   this->active->holder = this->remote->holder.member;
   this->active->grant.reset();
-  this->relay.forwarder.Send(this->remote->holder, message, time_left,
-                             [self = this->shared_from_this(), number = this->active->number,
-                              session = message.session](const ForwardAnswer& answer) {
-                               if (self->active && self->active->number == number && self->remote &&
-                                   self->remote->session == session) {
-                                 self->OnHolderAnswer(answer);
-                               }
-                             });
+  std::shared_ptr<RelayServer> server;
+  if (const auto found = this->relay.servers.find(this->remote->server);
+      found != this->relay.servers.end()) {
+    server = found->second;
+    ++server->forwarded;
+  }
+  this->relay.forwarder.Send(
+      this->remote->holder, message, time_left,
+      [self = this->shared_from_this(), number = this->active->number, session = message.session,
+       server, sent_at = this->Now()](const ForwardAnswer& answer) {
+        if (server != nullptr) {
+          --server->forwarded;
+          self->relay.MarkAnsweredByHolder(*server, sent_at, answer);
+        }
+        if (self->active && self->active->number == number && self->remote &&
+            self->remote->session == session) {
+          self->OnHolderAnswer(answer);
+        }
+      });
 }
 
 void RelayCallerSession::OnHolderAnswer(const ForwardAnswer& answer) {
@@ -226,6 +237,7 @@
                       this->active->tried.count(server->record.id) == 0 &&
                       server->behind_until <= now && server->busy_until <= now &&
                       server->unreachable_until <= now &&
+                      server->failure_rate <= SessionRelay::kMaxFailureRate &&
                       !this->relay.Unresponsive(*server, SessionRelay::kUnresponsiveTimeout);
   return usable ? std::optional(server->record.id) : std::nullopt;
 }
--- a/src/relay/relay_state.h
+++ b/src/relay/relay_state.h
@@ -26,6 +26,7 @@
   Duration connect_time{};      ///< Moving average of the time until a connection is open.
   double failure_rate = 0;      ///< Moving average, 0 to 1, of the statements that failed.
   std::size_t outstanding = 0;  ///< Statements that were sent and not answered yet.
+  std::size_t forwarded = 0;    ///< Statements for this server that holders have not answered yet.
   TimePoint answered_at;        ///< When it last answered a statement or opened a connection.
   TimePoint unanswered_since;   ///< No answer since then; only valid while outstanding > 0.
   TimePoint behind_until;       ///< End of the back-off after it lacked a required position.
@@ -84,6 +85,8 @@
   void MarkFailing(RelayServer& server);
   /// Records an answer to a statement that was sent at `sent_at`.
   void MarkAnswered(RelayServer& server, TimePoint sent_at);
+  /// Records that a holder answered a statement for the server that was sent at `sent_at`.
+  void MarkAnsweredByHolder(RelayServer& server, TimePoint sent_at, const ForwardAnswer& answer);
   /// Adds an answer to the failure rate.
   static void UpdateFailureRate(RelayServer& server, bool failed);
   /// True if statements have been outstanding at the server without any answer for longer than
--- a/src/relay/session_relay.cc
+++ b/src/relay/session_relay.cc
@@ -208,7 +208,7 @@
     candidate.response_time = server->response_time;
     candidate.connect_time = server->pool->Idle() > 0 ? Duration::zero() : server->connect_time;
     candidate.failure_rate = server->failure_rate;
-    candidate.outstanding = server->pool->Leased() + server->pool->Waiting();
+    candidate.outstanding = server->pool->Leased() + server->pool->Waiting() + server->forwarded;
     candidate.primary = grant && grant->server == id;
     candidate.usable = server->record.state == BackendServerState::kReady && tried.count(id) == 0 &&
                        server->behind_until <= now && server->busy_until <= now &&
@@ -242,6 +242,21 @@
   server.response_time += ((now - sent_at) - server.response_time) / kResponseTimeSmoothing;
 }
 
+// The time includes the wait for a connection at the holder, which shows the load of the server.
+// The other measurements are left to the holder, because a holder that does not respond says
+// nothing about the server.
+void SessionRelay::Impl::MarkAnsweredByHolder(RelayServer& server, TimePoint sent_at,
+                                              const ForwardAnswer& answer) {
+  if (answer.outcome != ForwardOutcome::kAnswered) {
+    return;
+  }
+  const TimePoint now = this->clock.Now();
+  server.response_time += ((now - sent_at) - server.response_time) / kResponseTimeSmoothing;
+  if (answer.result.error && answer.result.error->code == StatementErrorCode::kBusy) {
+    server.busy_until = now + kBusyBackOff;
+  }
+}
+
 void SessionRelay::Impl::UpdateFailureRate(RelayServer& server, bool failed) {
   server.failure_rate += ((failed ? 1.0 : 0.0) - server.failure_rate) * kFailureRateSmoothing;
 }
--- a/src/relay/statement_forwarding_test.cc
+++ b/src/relay/statement_forwarding_test.cc
@@ -434,17 +434,70 @@
 // Guards against a read through a holder that misses the session's own commit.
 TEST_F(StatementForwardingTest, ReadsThroughAHolderSeeTheSessionsCommits) {
   for (int i = 1; i < 3; ++i) {
-    this->relays.database.At(i).lag = milliseconds(400);
+    this->relays.database.At(i).lag = milliseconds(120);
+  }
+  // Reads must use the replicas, which lag.
+  for (int i = 0; i < 3; ++i) {
+    BackendServerRecord primary = this->relays.database.At(0).record;
+    primary.state = BackendServerState::kDraining;
+    this->relays.At(i).relay->PutServer(primary);
   }
   TestCaller& caller = this->Open("quotes");
   for (int i = 0; i < 10; ++i) {
     EXPECT_TRUE(this->Succeeds(caller, StatementKind::kWrite, "w" + std::to_string(i)));
     const std::size_t committed = this->relays.database.At(0).log_terms.size();
     const std::string read = "r" + std::to_string(i);
-    EXPECT_TRUE(this->Succeeds(caller, StatementKind::kRead, read));
+    ASSERT_TRUE(this->Succeeds(caller, StatementKind::kRead, read));
     EXPECT_GE(this->RunsOf(read).back().log_end.index, committed);
+    EXPECT_NE(this->RunsOf(read).back().server, "orders-0");
+  }
+}
+
+// Guards against holders that move reads to other servers, each of which then has connections of
+// the holders of all data centres.
+TEST_F(StatementForwardingTest, AHolderUsesTheServerThatTheSenderHasChosen) {
+  for (int i = 0; i < 2; ++i) {
+    BackendServerRecord record = this->relays.database.At(i).record;
+    record.state = BackendServerState::kDraining;
+    this->relays.At(0).relay->PutServer(record);
+  }
+  TestCaller& caller = this->Open("stock");
+  for (int i = 0; i < 5; ++i) {
+    const std::string read = "r" + std::to_string(i);
+    ASSERT_TRUE(this->Succeeds(caller, StatementKind::kRead, read));
+    EXPECT_EQ(this->RunsOf(read).back().server, "orders-2");
   }
-  EXPECT_EQ(this->Connections() > 0, true);
+}
+
+// Guards against a refusal by the holder that arrives when the caller's relay has already given up.
+TEST_F(StatementForwardingTest, TheHolderKeepsTheTimeThatIsLeft) {
+  this->relays.database.At(0).silent = true;
+  ForwardedStatement write;
+  write.session = 1;
+  write.number = 1;
+  write.route = "place";
+  write.statement = MakeStatement(StatementKind::kWrite, "w");
+  write.time_left = milliseconds(200);
+  std::vector<ForwardAnswer> answers;
+  this->relays.At(1).sessions->Handle(
+      "r0", "1", write, [&answers](const ForwardAnswer& answer) { answers.push_back(answer); });
+  this->relays.Advance(milliseconds(210));
+  ASSERT_EQ(answers.size(), 1U);
+  EXPECT_EQ(answers[0].result.error->code, StatementErrorCode::kBusy);
+  EXPECT_EQ(this->relays.At(1).sessions->Count(), 0U);
+}
+
+// Guards against locks that stay held until the idle time of transactions when the sender has
+// ended.
+TEST_F(StatementForwardingTest, ATransactionEndsWithTheLastLinkOfItsSender) {
+  TestCaller& caller = this->Open("place");
+  SimulatedRelay& holder = this->relays.At(this->HolderOfPrimary());
+  EXPECT_TRUE(this->Succeeds(caller, StatementKind::kBegin, "b"));
+  EXPECT_TRUE(this->Succeeds(caller, StatementKind::kWrite, "w"));
+  EXPECT_EQ(holder.sessions->Count(), 1U);
+  this->relays.Kill(0);
+  this->relays.Advance(milliseconds(50));
+  EXPECT_EQ(holder.sessions->Count(), 0U);
 }
 
 // Guards against a read through a holder that is older than the route allows.
