Exchange forwarded statements and the list of holders between relays

The requests `statement` and `end` run over PeerLink. PeerServer reports the end of a member's last link, on which a holder rolls its transactions back. The leader's answer to a heartbeat carries the list of holders if its version differs from the member's. Nothing is sent where forwarding does not apply.

--- a/src/include/sycamoredrum/peer_link.h
+++ b/src/include/sycamoredrum/peer_link.h
@@ -71,6 +71,9 @@
   Duration idle_timeout = std::chrono::seconds(60);  ///< Closes a link without requests.
   Duration hello_timeout = std::chrono::seconds(5);  ///< From connecting to the end of the hello.
   std::size_t max_links = 10000;                     ///< Used by PeerServer only.
+  /// Used by PeerServer only. Optional: the last open link from `member` has ended. Runs on a
+  /// worker.
+  std::function<void(const std::string& member)> links_ended = nullptr;
 };
 
 /// Counters since the object was created, and the current number of open links.
--- a/src/net/peer_link_test.cc
+++ b/src/net/peer_link_test.cc
@@ -4,7 +4,10 @@
 
 #include <atomic>
 #include <future>
+#include <mutex>
+#include <string>
 #include <thread>
+#include <vector>
 
 #include "event_loop_impl.h"
 #include "peer_frame.h"
@@ -63,6 +66,7 @@
   }
   void SetUp() override { this->StartServer(PeerOptions{}); }
   void StartServer(const PeerOptions& options) {
+    this->former_servers.push_back(std::move(this->server));
     this->server = std::make_unique<PeerServer>(this->loop, kServerIdentity, options,
                                                 this->Handlers(this->loop));
     const auto port = this->server->Listen(Endpoint{"127.0.0.1", 0});
@@ -77,6 +81,8 @@
   EventLoop loop{3};
   std::atomic<int> handled{0};
   std::unique_ptr<PeerServer> server;
+  /// A server must not be destroyed before the loop has ended.
+  std::vector<std::unique_ptr<PeerServer>> former_servers;
   Endpoint endpoint;
 };
 
@@ -277,6 +283,34 @@
   EXPECT_EQ(link.Stats().unmatched, 1U);
 }
 
+// Guards against the end of one of two links of a member that is taken for the end of its process,
+// and against an end that is never reported.
+TEST_F(PeerTest, TheEndOfAMembersLastLinkIsReported) {
+  std::mutex mutex;
+  std::vector<std::string> ended;
+  PeerOptions options;
+  options.links_ended = [&](const std::string& member) {
+    const std::lock_guard<std::mutex> lock(mutex);
+    ended.push_back(member);
+  };
+  this->StartServer(options);
+  auto first =
+      std::make_unique<PeerLink>(this->loop, kClientIdentity, PeerOptions{}, this->endpoint);
+  auto second =
+      std::make_unique<PeerLink>(this->loop, kClientIdentity, PeerOptions{}, this->endpoint);
+  EXPECT_TRUE(Call(*first, "echo", "1").Ok());
+  EXPECT_TRUE(Call(*second, "echo", "1").Ok());
+  first.reset();
+  EXPECT_TRUE(Eventually([&] { return this->server->Stats().open == 1; }));
+  second.reset();
+  EXPECT_TRUE(Eventually([&] {
+    const std::lock_guard<std::mutex> lock(mutex);
+    return !ended.empty();
+  }));
+  const std::lock_guard<std::mutex> lock(mutex);
+  EXPECT_EQ(ended, std::vector<std::string>{"client"});
+}
+
 // Guards against idle links that stay open, and against a shutdown that aborts requests in
 // progress.
 TEST_F(PeerTest, IdleLinksCloseAndShutdownFinishesRequests) {
--- a/src/net/peer_server.cc
+++ b/src/net/peer_server.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <mutex>
 #include <utility>
 
@@ -109,12 +110,24 @@
 void PeerServer::State::OnClose(const connection_hdl& handle) {
   websocketpp::lib::error_code error;
   const auto connection = this->endpoint.get_con_from_hdl(handle, error);
+  std::optional<std::string> ended_member;
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    this->sessions.erase(handle);
+    const auto ended = this->sessions.extract(handle);
     if (!error && ClosedByBadFrame(*connection)) {
       ++this->stats.bad_frames;
     }
+    if (this->options.links_ended && !ended.empty() && ended.mapped()->ready) {
+      const std::string& member = ended.mapped()->hello.member;
+      const bool others =
+          std::any_of(this->sessions.begin(), this->sessions.end(), [&member](const auto& entry) {
+            return entry.second->ready && entry.second->hello.member == member;
+          });
+      ended_member = others ? std::nullopt : std::optional(member);
+    }
+  }
+  if (ended_member) {
+    this->options.links_ended(*ended_member);
   }
   this->ReportIfFinished();
 }
--- a/src/relay_daemon/fleet_member.cc
+++ b/src/relay_daemon/fleet_member.cc
@@ -47,6 +47,7 @@
                          RandomSource random, Logger& logger, Metrics& metrics)
     : platform(platform),
       self(std::move(self)),
+      processor_share(processor_share),
       seeds(std::move(seeds)),
       identity{this->self.member, this->self.data_centre, fleet_key},
       hooks(std::move(hooks)),
@@ -71,7 +72,7 @@
       members_mirror(platform.store, MakeMembersMirrorOptions(), this->MakeMembersMirrorHooks(),
                      clock, loop, random),
       registration(platform.store, this->self, this->MakeRegistrationHooks(), clock, loop, logger),
-      peer_server(loop, this->identity, PeerOptions{}, this->MakeHandlers()),
+      peer_server(loop, this->identity, this->MakeServerOptions(), this->MakeHandlers()),
       started(clock.Now()),
       store_confirmed_at(clock.Now()),
       own_records_jitter(RandomJitter(kOwnRecordsTimeInLargeFleet, random)),
@@ -99,7 +100,7 @@
 }
 
 std::map<std::string, PeerHandler> FleetMember::MakeHandlers() {
-  std::map<std::string, PeerHandler> handlers;
+  std::map<std::string, PeerHandler> handlers = this->hooks.handlers;
   const auto unreadable = [](const PeerRespond& respond) {
     respond(PeerReply{"null", "unreadable", "the message cannot be read"});
   };
@@ -118,6 +119,7 @@
     answer.configuration = this->configuration_version;
     answer.servers_version = this->hooks.needs_servers() ? 0 : this->own_servers_version;
     answer.fleet_size = this->members.size();
+    this->AddHolders(*message, answer);
     respond(PeerReply{ToJson(answer), "", ""});
   };
   handlers["revoke"] = [this, unreadable](const PeerRequest& request, PeerRespond respond) {
@@ -343,6 +345,7 @@
   if (this->relay.Configuration()->connection_caps.size() > kMaxDatabasesWithAllPositions) {
     message.used_databases = this->relay.DatabasesInUse();
   }
+  this->AddProcessorShare(message);
   return message;
 }
 
@@ -358,6 +361,7 @@
     HeartbeatAnswer answer = this->leader_role.OnHeartbeat(message);
     answer.configuration = this->configuration_version;
     answer.fleet_size = this->members.size();
+    this->AddHolders(message, answer);
     this->OnAnswer(answer, sent);
     return;
   }
@@ -402,6 +406,7 @@
   }
   this->fleet_size = std::max<std::size_t>(answer.fleet_size, 1);
   this->relay.SetFleetSize(this->fleet_size);
+  this->ApplyHolders(answer);
   this->answer_epoch = answer.epoch;
   this->answer_stamp = answer.stamp;
   this->answer_received = now;
--- a/src/relay_daemon/fleet_member.h
+++ b/src/relay_daemon/fleet_member.h
@@ -10,6 +10,7 @@
 
 #include "fleet_leader.h"
 #include "fleet_messages.h"
+#include "holder_list.h"
 #include "member_registration.h"
 #include "sycamoredrum/event_loop.h"
 #include "sycamoredrum/log.h"
@@ -32,6 +33,10 @@
   std::function<bool()> needs_servers;
   /// The store answered the lookup of this member's registration.
   std::function<void()> store_reachable;
+  /// Handlers of further kinds of requests from other members.
+  std::map<std::string, PeerHandler> handlers = {};
+  /// Optional. The last link from a member has ended.
+  std::function<void(const std::string& member)> links_ended = nullptr;
 };
 
 /// Membership of this process in the fleet. Registers the process in the store, tracks the leader,
@@ -151,6 +156,10 @@
   /// answered within kLeaderTimeout.
   bool CutOff() const;
   const std::string& LastReason() const { return this->last_reason; }
+  /// As PeerLink::Call, on the link to `endpoint`.
+  void Call(const Endpoint& endpoint, const std::string& kind, const std::string& body,
+            Duration timeout, PeerCallback done);
+  bool LinkOpen(const Endpoint& endpoint) const;
 
  private:
   /// Serialized records of the backend servers, as sent to members.
@@ -162,6 +171,7 @@
     std::string text_without_records;
   };
 
+  PeerOptions MakeServerOptions() const;
   std::map<std::string, PeerHandler> MakeHandlers();
   /// The answer to a request for the servers' records; serialized again only if they changed.
   std::string MakeServersReply(const StateRequest& request);
@@ -185,6 +195,10 @@
   HeartbeatMessage MakeHeartbeat();
   /// True if `report` contains observations that must be sent to the leader.
   bool ShouldReport(const std::string& database, const DatabaseReport& report) const;
+  void AddProcessorShare(HeartbeatMessage& message) const;
+  /// Adds the list of holders to the leader's answer to a heartbeat.
+  void AddHolders(const HeartbeatMessage& message, HeartbeatAnswer& answer);
+  void ApplyHolders(const HeartbeatAnswer& answer);
   void OnAnswer(const HeartbeatAnswer& answer, TimePoint sent);
   void RequestState();
   void RequestStateFrom(const Endpoint& target);
@@ -206,6 +220,7 @@
 
   const RelayPlatform& platform;
   const MemberRecord self;
+  const double processor_share;
   const std::vector<Endpoint> seeds;
   const PeerIdentity identity;
   FleetMemberHooks hooks;
@@ -265,7 +280,9 @@
   std::uint64_t servers_epoch = 0;        ///< Epoch of the leader of `servers_version`.
   std::uint64_t servers_version = 0;      ///< Version of the leader's records in use; 0: none.
   bool servers_request_in_flight = false;
-  ServersReply servers_reply;  ///< Cached, because all members request the same.
+  HolderList holder_list;             ///< Used only while this process leads.
+  std::uint64_t holders_version = 0;  ///< Of the list of holders in use; 0: none.
+  ServersReply servers_reply;         ///< Cached, because all members request the same.
   std::string last_reason;
 };
 
--- a/src/relay_daemon/fleet_messages.cc
+++ b/src/relay_daemon/fleet_messages.cc
@@ -177,6 +177,12 @@
   if (message.used_databases) {
     json["used_databases"] = *message.used_databases;
   }
+  if (message.processor_share) {
+    json["processor_share"] = *message.processor_share;
+  }
+  if (message.holders_version != 0) {
+    json["holders_version"] = message.holders_version;
+  }
   return json.dump();
 }
 
@@ -201,6 +207,10 @@
     if (json.contains("used_databases")) {
       message.used_databases = json.at("used_databases").get<std::set<std::string>>();
     }
+    if (json.contains("processor_share")) {
+      message.processor_share = json.at("processor_share").get<double>();
+    }
+    message.holders_version = json.value("holders_version", std::uint64_t{0});
     return message;
   });
 }
@@ -233,6 +243,14 @@
   if (!answer.connections.empty()) {
     json["connections"] = answer.connections;
   }
+  if (answer.holders) {
+    json["holders"] = Json::array();
+    for (const ConnectionHolder& holder : *answer.holders) {
+      json["holders"].push_back({holder.member, holder.data_centre, EndpointJson(holder.endpoint),
+                                 holder.processor_share});
+    }
+    json["holders_version"] = answer.holders_version;
+  }
   return json.dump();
 }
 
@@ -266,6 +284,15 @@
       }
     }
     answer.connections = json.value("connections", std::map<std::string, int>());
+    if (json.contains("holders")) {
+      answer.holders.emplace();
+      for (const Json& holder : json.at("holders")) {
+        answer.holders->push_back(
+            ConnectionHolder{holder.at(0).get<std::string>(), holder.at(1).get<std::string>(),
+                             ParseEndpoint(holder.at(2)), holder.at(3).get<double>()});
+      }
+      answer.holders_version = json.at("holders_version").get<std::uint64_t>();
+    }
     return answer;
   });
 }
--- a/src/relay_daemon/fleet_messages.h
+++ b/src/relay_daemon/fleet_messages.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "sycamoredrum/clock.h"
+#include "sycamoredrum/connection_holders.h"
 #include "sycamoredrum/primary_authority.h"
 #include "sycamoredrum/relay_configuration.h"
 
@@ -61,6 +62,9 @@
   std::map<std::string, double> demand;
   /// Databases whose positions the member needs; nothing if it needs all.
   std::optional<std::set<std::string>> used_databases;
+  /// Fraction of a processor core that the member gets. Only where relays forward statements.
+  std::optional<double> processor_share;
+  std::uint64_t holders_version = 0;  ///< Of the list of holders that the member has; 0: none.
 };
 
 std::string ToJson(const HeartbeatMessage& message);
@@ -98,6 +102,9 @@
   std::map<std::string, PositionMessage> positions;
   /// Connections that the member may open, by backend server; only values other than kMinShare.
   std::map<std::string, int> connections;
+  /// Relays that hold connections; absent if the member has this list, or needs none.
+  std::optional<std::vector<ConnectionHolder>> holders;
+  std::uint64_t holders_version = 0;  ///< Of `holders`.
 };
 
 std::string ToJson(const HeartbeatAnswer& answer);
--- a/src/relay_daemon/relay_daemon.cc
+++ b/src/relay_daemon/relay_daemon.cc
@@ -12,8 +12,10 @@
 #include <utility>
 
 #include "fleet_member.h"
+#include "statement_exchange.h"
 #include "sycamoredrum/boottime_clock.h"
 #include "sycamoredrum/byte_stream.h"
+#include "sycamoredrum/forwarded_sessions.h"
 #include "sycamoredrum/http.h"
 
 namespace sycamoredrum {
@@ -70,12 +72,11 @@
         platform(make_platform(this->loop, this->metrics, this->settings)),
         grants(this->clock),
         servers(this->clock, this->MakeServerDirectoryHooks()),
-        relay(SessionRelayOptions{this->settings.data_centre},
-              SessionRelayHooks{this->platform.open_channel,
-                                [this](const std::string& database) {
-                                  this->member.OnPrimarySuspected(database);
-                                }},
-              this->grants, this->clock, this->loop, this->random, this->logger, this->metrics),
+        relay(SessionRelayOptions{this->settings.data_centre, this->settings.member_id},
+              this->MakeRelayHooks(), this->grants, this->clock, this->loop, this->random,
+              this->logger, this->metrics),
+        forwarded_sessions(this->relay, this->clock, this->metrics),
+        statement_exchange(this->incarnation, this->MakeExchangeHooks(), this->forwarded_sessions),
         member(this->platform, this->MakeMemberRecord(), this->settings.processor_share,
                this->settings.seeds, this->settings.fleet_key, this->MakeMemberHooks(), this->relay,
                this->grants, this->servers, this->loop, this->clock, this->random, this->logger,
@@ -95,11 +96,13 @@
         started(this->clock.Now()) {}
 
   MemberRecord MakeMemberRecord() const {
-    return MemberRecord{this->settings.member_id, RandomIncarnation(), this->settings.data_centre,
+    return MemberRecord{this->settings.member_id, this->incarnation, this->settings.data_centre,
                         this->settings.peer_address};
   }
 
   ServerDirectoryHooks MakeServerDirectoryHooks();
+  SessionRelayHooks MakeRelayHooks();
+  StatementExchangeHooks MakeExchangeHooks();
   FleetMemberHooks MakeMemberHooks();
   StoreMirrorOptions MakeConfigurationMirrorOptions() const {
     StoreMirrorOptions options;
@@ -132,10 +135,13 @@
   Metrics metrics;
   Logger logger;
   RandomSource random;
+  const std::string incarnation = RandomIncarnation();
   RelayPlatform platform;
   PrimaryGrants grants;
   ServerDirectory servers;
   SessionRelay relay;
+  ForwardedSessions forwarded_sessions;
+  StatementExchange statement_exchange;
   FleetMember member;
   StoreMirror configuration_mirror;
   StoreMirror servers_mirror;
@@ -169,8 +175,38 @@
   return result;
 }
 
+SessionRelayHooks RelayDaemon::State::MakeRelayHooks() {
+  SessionRelayHooks hooks;
+  hooks.open_channel = this->platform.open_channel;
+  hooks.primary_suspected = [this](const std::string& database) {
+    this->member.OnPrimarySuspected(database);
+  };
+  hooks.forward = [this](const ConnectionHolder& holder, const ForwardedStatement& statement,
+                         Duration timeout, const ForwardCallback& done) {
+    this->statement_exchange.Send(holder, statement, timeout, done);
+  };
+  hooks.end_forwarded = [this](const ConnectionHolder& holder, std::uint64_t session) {
+    this->statement_exchange.End(holder, session);
+  };
+  return hooks;
+}
+
+StatementExchangeHooks RelayDaemon::State::MakeExchangeHooks() {
+  StatementExchangeHooks hooks;
+  hooks.call = [this](const Endpoint& endpoint, const std::string& kind, const std::string& body,
+                      Duration timeout, PeerCallback done) {
+    this->member.Call(endpoint, kind, body, timeout, std::move(done));
+  };
+  hooks.link_open = [this](const Endpoint& endpoint) { return this->member.LinkOpen(endpoint); };
+  return hooks;
+}
+
 FleetMemberHooks RelayDaemon::State::MakeMemberHooks() {
   FleetMemberHooks hooks;
+  hooks.handlers = this->statement_exchange.Handlers();
+  hooks.links_ended = [this](const std::string& member) {
+    this->forwarded_sessions.EndAllOf(member);
+  };
   hooks.configuration_received = [this](const std::string& text) {
     this->ApplyConfiguration(text, "member");
   };
@@ -407,6 +443,7 @@
   }
   this->servers.Tick();
   this->relay.Tick();
+  this->forwarded_sessions.Tick();
   this->member.Tick();
   const bool cut_off = this->member.CutOff();
   if (std::exchange(this->cut_off, cut_off) != cut_off) {
@@ -455,6 +492,7 @@
   this->callers_at_stop = std::max<std::size_t>(this->callers.size(), 1);
   this->logger.Info("stopping", {{"signal", absl::StrCat(signal)},
                                  {"sessions", absl::StrCat(this->callers.size())}});
+  this->forwarded_sessions.StopAccepting();
   this->member.PrepareToLeave();
 }
 
@@ -482,7 +520,7 @@
   }
   if (elapsed >= idle_from + kIdleCloseSpread) {
     this->caller_server.Stop();
-    if (this->callers.empty()) {
+    if (this->callers.empty() && this->forwarded_sessions.Count() == 0) {
       this->End();
       return;
     }
