Test forwarding with real relay processes, and leave positions to holders

A relay without a recent position of a primary's log opened a connection to the primary to ask for it. With 115 relays that exceeds the cap after the loss of the leader. Where the statement goes to a holder, which checks the position itself, the query is left out.

The process test with a cap of 3 and two relays passes; it ends with the holder killed inside a transaction.

--- a/src/relay/caller_session.h
+++ b/src/relay/caller_session.h
@@ -139,6 +139,10 @@
   void OnAnswer(const StatementResult& result);
   /// Organisation whose connections the statements use.
   const std::string& Organisation() const;
+  /// True if statements for the session's database are sent to holders.
+  bool MayForward() const;
+  /// True if the holder, and not this relay, requires a log position for the active statement.
+  bool HolderChecksPosition() const;
   /// Sends the active statement to the holder of the connections to `server`, or refuses it if the
   /// holders are overloaded. Returns false if this relay's own connections are to be used.
   bool ForwardToHolder(const RelayServer& server);
--- a/src/relay/caller_session_dispatch.cc
+++ b/src/relay/caller_session_dispatch.cc
@@ -59,7 +59,7 @@
     return;
   }
   const std::optional<PrimaryGrant> grant = this->relay.grants.Current(this->route.database);
-  if (!this->active->needs_primary && !this->RequiredPosition()) {
+  if (!this->active->needs_primary && !this->RequiredPosition() && !this->HolderChecksPosition()) {
     // No recent enough position of the primary's log is known.
     if (!grant || this->ShouldWaitForPosition(*grant)) {
       this->SuspendStatement();
--- a/src/relay/caller_session_forwarding.cc
+++ b/src/relay/caller_session_forwarding.cc
@@ -13,13 +13,22 @@
   return this->origin ? this->origin->organisation : none;
 }
 
-bool RelayCallerSession::ForwardToHolder(const RelayServer& server) {
+bool RelayCallerSession::MayForward() const {
   const auto cap = this->relay.configuration->connection_caps.find(this->route.database);
-  const Duration time_left = this->active->deadline - this->Now();
-  if (this->origin || this->active->own_connection ||
-      cap == this->relay.configuration->connection_caps.end() ||
-      !this->relay.forwarder.Applies(cap->second, this->relay.fleet_size) ||
-      time_left <= StatementForwarder::kAnswerMargin) {
+  return !this->origin && !this->active->own_connection &&
+         cap != this->relay.configuration->connection_caps.end() &&
+         this->relay.forwarder.Applies(cap->second, this->relay.fleet_size);
+}
+
+// The position queries of all relays would open as many connections to the primary, just when the
+// positions are missing after a fault.
+bool RelayCallerSession::HolderChecksPosition() const {
+  return this->MayForward() && !this->relay.forwarder.IsHolder(this->relay.options.data_centre);
+}
+
+bool RelayCallerSession::ForwardToHolder(const RelayServer& server) {
+  if (!this->MayForward() ||
+      this->active->deadline - this->Now() <= StatementForwarder::kAnswerMargin) {
     return false;
   }
   std::optional<ConnectionHolder> holder;
--- a/src/relay/simulated_relays_test.h
+++ b/src/relay/simulated_relays_test.h
@@ -108,9 +108,11 @@
     SimulatedRelay& relay = this->At(number);
     relay.grants.Renew("orders",
                        PrimaryGrant{this->database.Id(0), 1, 1, this->clock.Now() + seconds(3)});
-    relay.relay->ObservePosition(
-        "orders", 1,
-        PositionObservation{SimulatedDatabase::End(this->database.At(0)), this->clock.Now()});
+    if (this->without_positions.count(number) == 0) {
+      relay.relay->ObservePosition(
+          "orders", 1,
+          PositionObservation{SimulatedDatabase::End(this->database.At(0)), this->clock.Now()});
+    }
     relay.relay->GrantsChanged();
   }
 
@@ -244,6 +246,7 @@
   std::vector<std::unique_ptr<SimulatedRelay>> relays;
   std::map<std::string, std::vector<std::function<void()>>> pending;
   std::set<std::string> unreachable;  ///< Relays to which nothing can be sent.
+  std::set<int> without_positions;    ///< Relays that get no positions from the leader.
   int lose_requests = 0;
   int lose_answers = 0;
   std::uint64_t lose_one_in = 0;
--- a/testsuite/relay/relay_test.cc
+++ b/testsuite/relay/relay_test.cc
@@ -121,6 +121,19 @@
     return static_cast<int>(reads);
   }
 
+  /// Value of the counter whose line in the metrics begins with `name`; 0 if there is none.
+  double Counter(const std::string& name) const {
+    const RawSocket socket = RawSocket::ConnectTo(kMetricsPort, this->host);
+    socket.Send("GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    std::istringstream lines(socket.ReceiveUntil("no line has this text"));
+    for (std::string line; std::getline(lines, line);) {
+      if (line.rfind(name, 0) == 0) {
+        return std::stod(line.substr(line.rfind(' ')));
+      }
+    }
+    return 0;
+  }
+
   const std::string host;
   const std::string error_file;
   std::unique_ptr<ChildProcess> process;
@@ -206,6 +219,45 @@
   EXPECT_EQ(this->platform.CommitsOf("three"), 0);
 }
 
+// Guards against relays whose forwarded statements work only without a network between them. One of
+// the two relays holds the connections to the primary, and the other one sends its statements
+// there.
+TEST_F(RelayTest, StatementsAreForwardedWhereTheCapIsSmall) {
+  const auto forwarded = [this](std::size_t relay) {
+    return this->relays[relay]->Counter(
+        "sycamoredrum_forwarded_statements_total{direction=\"sent\",outcome=\"answered\"}");
+  };
+  EXPECT_EQ(forwarded(0) + forwarded(1), 0);
+  this->platform.Configure(8, {"place=primary", "quotes=read_your_writes"}, 3);
+  int written = 0;
+  EXPECT_TRUE(Eventually([&] {
+    const std::string data = "early" + std::to_string(++written);
+    return this->WriteEventually(0, "a", data) && this->WriteEventually(1, "a", data) &&
+           forwarded(0) + forwarded(1) > 0;
+  }));
+  const std::size_t sender = forwarded(0) > 0 ? 0 : 1;
+  EXPECT_EQ(forwarded(1 - sender), 0);
+  Caller caller = this->Open(static_cast<int>(sender), "quotes");
+  EXPECT_EQ(caller.Execute("SET mode fast"), "DONE -\r\nREADY I -\r\n");
+  EXPECT_EQ(caller.Execute("PREPARE s1 WRITE shape"), "DONE -\r\nREADY I -\r\n");
+  EXPECT_EQ(caller.Execute("BEGIN"), "DONE -\r\nREADY T -\r\n");
+  const double before = forwarded(sender);
+  EXPECT_THAT(caller.Execute("EXEC s1 b two"), HasSubstr("READY T -"));
+  EXPECT_EQ(this->platform.CommitsOf("two"), 0);
+  EXPECT_THAT(caller.Execute("COMMIT"), HasSubstr("DONE proof-i-0\r\nREADY I -"));
+  EXPECT_EQ(this->platform.CommitsOf("two"), 1);
+  EXPECT_THAT(caller.Execute("READ b"), HasSubstr("ROW two\r\n"));
+  EXPECT_GE(forwarded(sender), before + 2);
+  // An open transaction ends with the holder's process, and the relay serves on without it.
+  EXPECT_EQ(caller.Execute("BEGIN"), "DONE -\r\nREADY T -\r\n");
+  EXPECT_THAT(caller.Execute("WRITE b three"), HasSubstr("READY T -"));
+  this->relays[1 - sender]->process->Signal(SIGKILL);
+  EXPECT_EQ(this->relays[1 - sender]->process->Wait(seconds(6)), 128 + SIGKILL);
+  EXPECT_THAT(caller.Execute("COMMIT"), HasSubstr("ERR "));
+  EXPECT_EQ(this->platform.CommitsOf("three"), 0);
+  EXPECT_TRUE(this->WriteEventually(static_cast<int>(sender), "b", "four"));
+}
+
 TEST_F(RelayTest, UnknownRoutesAndMalformedMessagesAreRefused) {
   EXPECT_THAT(this->Open(0, "nowhere").greeting, HasSubstr("ERR NODB"));
   Caller caller = this->Open(0, "place");
--- a/testsuite/relay/standin_users_platform.h
+++ b/testsuite/relay/standin_users_platform.h
@@ -29,8 +29,9 @@
   /// Address of the store and of the call that promotes a backend server.
   Endpoint Address() const { return this->address; }
 
-  /// Writes the operator's configuration with this version. Each route is NAME=TYPE.
-  void Configure(int version, const std::vector<std::string>& routes);
+  /// Writes the operator's configuration with this version. Each route is NAME=TYPE. A backend
+  /// server admits `connection_cap` connections.
+  void Configure(int version, const std::vector<std::string>& routes, int connection_cap = 21);
   /// Stops a backend server and closes its connections, as if its process had been killed.
   void KillBackendServer(int number);
   /// Sets the record of a backend server to draining, which announces its stop.
