--- a/src/include/sycamoredrum/metrics.h
+++ b/src/include/sycamoredrum/metrics.h
@@ -50,6 +50,7 @@
   kAllowanceParts,
   kCallerLimits,
   kCallerMemory,
+  kForwardedStatements,
 };
 
 /// Definition of a metric for its exposition and the documentation.
--- a/src/relay_daemon/fleet_messages.h
+++ b/src/relay_daemon/fleet_messages.h
@@ -9,6 +9,7 @@
 
 #include "allowance_messages.h"
 #include "sycamoredrum/clock.h"
+#include "sycamoredrum/connection_holders.h"
 #include "sycamoredrum/primary_authority.h"
 #include "sycamoredrum/relay_configuration.h"
 
@@ -63,6 +64,9 @@
   /// Databases whose positions the member needs; nothing if it needs all.
   std::optional<std::set<std::string>> used_databases;
   std::optional<AllowanceHeartbeat> allowance;
+  /// Fraction of a processor core that the member gets. Only where relays forward statements.
+  std::optional<double> processor_share;
+  std::uint64_t holders_version = 0;  ///< Of the list of holders that the member has; 0: none.
 };
 
 std::string ToJson(const HeartbeatMessage& message);
@@ -101,6 +105,9 @@
   /// Connections that the member may open, by backend server; only values other than kMinShare.
   std::map<std::string, int> connections;
   std::optional<AllowanceLeases> allowance;
+  /// Relays that hold connections; absent if the member has this list, or needs none.
+  std::optional<std::vector<ConnectionHolder>> holders;
+  std::uint64_t holders_version = 0;  ///< Of `holders`.
 };
 
 std::string ToJson(const HeartbeatAnswer& answer);
--- a/src/telemetry/metrics.cc
+++ b/src/telemetry/metrics.cc
@@ -200,6 +200,11 @@
        "sycamoredrum_caller_memory_bytes",
        "Memory that callers' connections hold, by part, and the budget",
        {"part"}},
+      {Metric::kForwardedStatements,
+       MetricKind::kCounter,
+       "sycamoredrum_forwarded_statements_total",
+       "Statements sent to and received from other relays, by outcome",
+       {"direction", "outcome"}},
   };
   return *table;
 }
--- a/testsuite/relay/standin_users_platform.cc
+++ b/testsuite/relay/standin_users_platform.cc
@@ -444,7 +444,7 @@
 }
 
 void StandinUsersPlatform::Configure(int version, const std::vector<std::string>& routes,
-                                     const std::string& organisations) {
+                                     const std::string& organisations, int connection_cap) {
   Json body = {{"version", version}, {"routes", Json::array()}, {"services", Json::array()}};
   for (const std::string& route : routes) {
     const std::vector<std::string> parts = absl::StrSplit(route, '=');
@@ -457,7 +457,8 @@
                               {"service", kService},
                               {"maxStalenessMs", 1500}});
   }
-  body["services"].push_back({{"name", kService}, {"maxConns", 21}, {"syncReplicas", 0}});
+  body["services"].push_back(
+      {{"name", kService}, {"maxConns", connection_cap}, {"syncReplicas", 0}});
   if (!organisations.empty()) {
     body["tenants"] = Json::parse(organisations);
   }
--- a/testsuite/relay/standin_users_platform.h
+++ b/testsuite/relay/standin_users_platform.h
@@ -31,9 +31,9 @@
 
   /// Writes the operator's configuration with this version. Each route is NAME=TYPE.
   /// `organisations` is the list of organisations in JSON; if it is empty, the configuration has no
-  /// list.
+  /// list. A backend server admits `connection_cap` connections.
   void Configure(int version, const std::vector<std::string>& routes,
-                 const std::string& organisations = "");
+                 const std::string& organisations = "", int connection_cap = 21);
   /// Stops a backend server and closes its connections, as if its process had been killed.
   void KillBackendServer(int number);
   /// Sets the record of a backend server to draining, which announces its stop.
