Keep the wait after a restore across a second one

Cause: a leadership that follows the last one without interruption began with no wait, although the last one still had to wait after a restore of the store. After two restores within the 9 s, parts were assigned while their holders of before the first restore still had leases.

Change: an uninterrupted leadership keeps the wait of the last one.

--- a/src/allowance/allowance_assignment.cc
+++ b/src/allowance/allowance_assignment.cc
@@ -21,13 +21,14 @@
                                 std::optional<TimePoint> restored_at, bool uninterrupted) {
   const TimePoint now = this->clock.Now();
   this->epoch = new_epoch;
-  this->assign_from = now + kGatherTime;
   this->moved_at = now;
   // A replaced leader may renew leases until its own lease has ended.
   const Duration former = this->leadership_lease + kHolderValidity;
-  this->confirm_from = now;
   this->rewrite = uninterrupted;
   if (uninterrupted) {
+    // A wait that the last leadership had to keep, for example after a restore of the store, goes
+    // on: its state does not contain the holders of before.
+    this->assign_from = std::max(this->assign_from, now + kGatherTime);
     for (std::size_t i = 0; i < record.size(); ++i) {
       // The next leader would renew the holder that is in the store.
       this->slots[i].changing = !(record[i] == this->recorded[i]);
@@ -35,6 +36,8 @@
     }
     return;
   }
+  this->assign_from = now + kGatherTime;
+  this->confirm_from = now;
   this->recorded = record;
   this->candidates.clear();
   for (Slot& slot : this->slots) {
--- a/src/allowance/allowance_assignment_test.cc
+++ b/src/allowance/allowance_assignment_test.cc
@@ -145,6 +145,20 @@
   EXPECT_EQ(this->assignment.OnReport(report, 1), (std::map<int, std::uint64_t>{{3, 50}}));
 }
 
+// Guards against two holders after the store was restored twice within the wait: the second
+// leadership follows the first without interruption, and its state does not contain the holders
+// that were assigned before the first restore.
+TEST_F(AllowanceAssignmentTest, ASecondRestoreDoesNotEndTheWaitOfTheFirst) {
+  this->assignment.Begin(200, AllowanceRecord{}, this->clock.Now(), false);
+  this->clock.Advance(milliseconds(400));
+  this->assignment.Begin(300, AllowanceRecord{}, this->clock.Now(), true);
+  this->members = {{"m0", "a", 1, "dc0", 1}};
+  this->Run(seconds(8));
+  EXPECT_EQ(this->Holders(), std::set<std::string>{""});
+  this->Run(seconds(2));
+  EXPECT_EQ(this->Holders(), std::set<std::string>{"m0"});
+}
+
 // Guards against two holders: the write of another holder may still take effect, and the next
 // leader would renew that one.
 TEST_F(AllowanceAssignmentTest, APartWhoseChangeIsUnresolvedIsNotRenewed) {
