--- a/src/relay/caller_session.cc
+++ b/src/relay/caller_session.cc
@@ -214,6 +214,7 @@
   const Duration limit = this->route.statement_timeout > Duration::zero()
                              ? this->route.statement_timeout
                              : kDefaultStatementTimeout;
+  next.arrived -= this->TimeSpentBySender(limit);
   next.deadline = next.arrived + limit;
   const bool read_write_transaction =
       this->transaction == TransactionState::kOpen && !this->read_only;
@@ -279,7 +280,8 @@
 void RelayCallerSession::LogOutcome(const StatementResult& result) const {
   const StatementKind kind = this->active->statement.kind;
   const bool begin = kind == StatementKind::kBegin || kind == StatementKind::kBeginReadOnly;
-  if (begin && !result.error) {
+  // The relay with the caller's session counts and logs a forwarded statement.
+  if (this->origin || (begin && !result.error)) {
     return;
   }
   const Duration elapsed = this->Now() - this->active->arrived;
@@ -307,6 +309,9 @@
       {"sent", this->active->sent ? "true" : "false"},
       {"server", this->active->server},
       {"needs_primary", this->active->needs_primary ? "true" : "false"}};
+  if (!this->active->holder.empty()) {
+    fields.push_back({"holder", this->active->holder});
+  }
   if (this->active->grant) {
     fields.push_back({"generation", absl::StrCat(this->active->grant->generation)});
     fields.push_back(
@@ -336,6 +341,7 @@
 }
 
 void RelayCallerSession::RollBackAndRelease() {
+  this->EndRemoteSession();
   if (!this->held) {
     return;
   }
@@ -399,6 +405,10 @@
     }
     return;
   }
+  if (this->remote) {
+    this->CheckHolder(now);
+    return;
+  }
   const bool repeatable = this->active->sent && this->transaction == TransactionState::kNone &&
                           !this->Writes(this->active->statement);
   if (!repeatable || now - this->active->sent_at < SessionRelay::kReadRetryTimeout) {
--- a/src/relay/caller_session_dispatch.cc
+++ b/src/relay/caller_session_dispatch.cc
@@ -44,13 +44,17 @@
     this->Prepare();
     return;
   }
+  if (this->remote) {
+    this->SendToHolder();
+    return;
+  }
   if (++this->active->tries > SessionRelay::kMaxAttempts) {
     this->Refuse(absl::StrCat("too many attempts, the last one: ", this->active->last_failure),
                  kBusyRetryDelay);
     return;
   }
   const std::optional<PrimaryGrant> grant = this->relay.grants.Current(this->route.database);
-  if (!this->active->needs_primary && !this->RequiredPosition()) {
+  if (!this->active->needs_primary && !this->RequiredPosition() && !this->HolderChecksPosition()) {
     // No recent enough position of the primary's log is known.
     if (!grant || this->ShouldWaitForPosition(*grant)) {
       this->SuspendStatement();
@@ -67,8 +71,10 @@
     }
     return;
   }
-  const std::optional<std::string> server =
-      this->relay.ChooseReadServer(this->route.database, this->active->tried);
+  std::optional<std::string> server = this->ServerOfSender();
+  if (!server) {
+    server = this->relay.ChooseReadServer(this->route.database, this->active->tried);
+  }
   if (!server) {
     this->active->tried.clear();
     if (this->Now() < this->active->arrived + this->MaxWait()) {
@@ -121,6 +127,9 @@
 void RelayCallerSession::Acquire(const std::string& server_id, std::optional<PrimaryGrant> grant) {
   RelayServer* server = this->relay.FindServer(server_id);
   const TimePoint now = this->Now();
+  if (this->ForwardToHolder(*server)) {
+    return;
+  }
   if (server->unreachable_until > now && this->active->needs_primary) {
     --this->active->tries;
     this->RetryLater(std::min(server->unreachable_until - now, kCapRetryDelay),
--- a/src/relay/session_organisation.cc
+++ b/src/relay/session_organisation.cc
@@ -34,6 +34,19 @@
   return identity;
 }
 
+SessionIdentity IdentifyOrganisation(const RelayConfiguration& configuration,
+                                     const std::string& organisation) {
+  SessionIdentity identity;
+  identity.organisation = organisation;
+  const Organisation* known =
+      configuration.organisations ? configuration.organisations->FindByName(organisation) : nullptr;
+  if (known != nullptr) {
+    identity.incarnation = known->incarnation;
+    identity.weight = QueueWeight(known->priority);
+  }
+  return identity;
+}
+
 int QueueWeight(int priority) {
   constexpr int kWeights[] = {8, 4, 1};
   constexpr int kLowest = 2;
@@ -61,6 +74,10 @@
 }
 
 bool RelayCallerSession::UpdateIdentity() {
+  if (this->origin) {
+    // The relay with the caller's session ends it if the key has changed.
+    return false;
+  }
   if (this->active && this->active->sent) {
     this->identity_outdated = true;
     return false;
@@ -170,7 +187,7 @@
 }
 
 bool RelayCallerSession::NeedsAdmission() const {
-  return this->relay.hooks.admit && !this->identity.organisation.empty();
+  return this->relay.hooks.admit && !this->origin && !this->identity.organisation.empty();
 }
 
 void RelayCallerSession::Admit() {
--- a/src/relay/session_organisation.h
+++ b/src/relay/session_organisation.h
@@ -28,6 +28,12 @@
 SessionIdentity IdentifyCaller(const RelayConfiguration& configuration, const std::string& route,
                                const std::string& key);
 
+/// Identity of a session that runs statements for another relay, which has checked the caller's
+/// key. An organisation that the configuration lacks, because it is older than the other relay's,
+/// has the least weight.
+SessionIdentity IdentifyOrganisation(const RelayConfiguration& configuration,
+                                     const std::string& organisation);
+
 /// Error for a caller whose key is missing or not known.
 StatementError UnauthenticatedError();
 
--- a/src/relay/session_relay.cc
+++ b/src/relay/session_relay.cc
@@ -46,6 +46,8 @@
       random(std::move(random)),
       logger(logger),
       metrics(metrics),
+      forwarder(this->options.member, this->hooks.forward, this->hooks.end_forwarded, clock, logger,
+                metrics),
       configuration(std::make_shared<RelayConfiguration>()),
       last_tick(clock.Now()) {}
 
@@ -61,6 +63,10 @@
 
 Duration SessionRelay::Impl::IdleTimeout(const RelayServer& server) const {
   const auto cap = this->configuration->connection_caps.find(server.record.database);
+  if (this->forwarder.IsHolder(server.record.data_centre)) {
+    // Other relays send their statements here, and the leader's share bounds the connections.
+    return kMaxIdleTimeout;
+  }
   return cap == this->configuration->connection_caps.end()
              ? kMaxIdleTimeout
              : IdleConnectionTimeout(cap->second, this->fleet_size, server.lease_rate);
@@ -202,7 +208,7 @@
     candidate.response_time = server->response_time;
     candidate.connect_time = server->pool->Idle() > 0 ? Duration::zero() : server->connect_time;
     candidate.failure_rate = server->failure_rate;
-    candidate.outstanding = server->pool->Leased() + server->pool->Waiting();
+    candidate.outstanding = server->pool->Leased() + server->pool->Waiting() + server->forwarded;
     candidate.primary = grant && grant->server == id;
     candidate.usable = server->record.state == BackendServerState::kReady && tried.count(id) == 0 &&
                        server->behind_until <= now && server->busy_until <= now &&
@@ -236,6 +242,21 @@
   server.response_time += ((now - sent_at) - server.response_time) / kResponseTimeSmoothing;
 }
 
+// The time includes the wait for a connection at the holder, which shows the load of the server.
+// The other measurements are left to the holder, because a holder that does not respond says
+// nothing about the server.
+void SessionRelay::Impl::MarkAnsweredByHolder(RelayServer& server, TimePoint sent_at,
+                                              const ForwardAnswer& answer) {
+  if (answer.outcome != ForwardOutcome::kAnswered) {
+    return;
+  }
+  const TimePoint now = this->clock.Now();
+  server.response_time += ((now - sent_at) - server.response_time) / kResponseTimeSmoothing;
+  if (answer.result.error && answer.result.error->code == StatementErrorCode::kBusy) {
+    server.busy_until = now + kBusyBackOff;
+  }
+}
+
 void SessionRelay::Impl::UpdateFailureRate(RelayServer& server, bool failed) {
   server.failure_rate += ((failed ? 1.0 : 0.0) - server.failure_rate) * kFailureRateSmoothing;
 }
@@ -416,6 +437,10 @@
 
 void SessionRelay::SetFleetSize(std::size_t processes) { this->impl->fleet_size = processes; }
 
+void SessionRelay::SetConnectionHolders(const std::vector<ConnectionHolder>& holders) {
+  this->impl->forwarder.SetHolders(holders);
+}
+
 void SessionRelay::SetCutOff(bool value) {
   if (std::exchange(this->impl->cut_off, value) == value || !value) {
     return;
--- a/src/relay_daemon/relay_daemon.cc
+++ b/src/relay_daemon/relay_daemon.cc
@@ -15,8 +15,10 @@
 #include "allowance_exchange.h"
 #include "caller_acceptance.h"
 #include "fleet_member.h"
+#include "statement_exchange.h"
 #include "sycamoredrum/boottime_clock.h"
 #include "sycamoredrum/byte_stream.h"
+#include "sycamoredrum/forwarded_sessions.h"
 #include "sycamoredrum/http.h"
 #include "sycamoredrum/organisation_directory.h"
 
@@ -76,16 +78,12 @@
         grants(this->clock),
         servers(this->clock, this->MakeServerDirectoryHooks()),
         self(this->MakeMemberRecord()),
-        relay(SessionRelayOptions{this->settings.data_centre},
-              SessionRelayHooks{this->platform.open_channel,
-                                [this](const std::string& database) {
-                                  this->member.OnPrimarySuspected(database);
-                                },
-                                [this](const std::string& organisation, TimePoint deadline,
-                                       std::function<void(const AdmissionVerdict&)> done) {
-                                  this->allowances.Admit(organisation, deadline, std::move(done));
-                                }},
-              this->grants, this->clock, this->loop, this->random, this->logger, this->metrics),
+        relay(SessionRelayOptions{this->settings.data_centre, this->settings.member_id},
+              this->MakeRelayHooks(), this->grants, this->clock, this->loop, this->random,
+              this->logger, this->metrics),
+        forwarded_sessions(this->relay, this->clock, this->metrics),
+        statement_exchange(this->self.incarnation, this->MakeExchangeHooks(),
+                           this->forwarded_sessions),
         allowances(this->self, this->settings.processor_share, this->settings.allowance,
                    this->MakeAllowanceHooks(), this->clock, this->loop, this->random, this->logger,
                    this->metrics),
@@ -112,6 +110,8 @@
   }
 
   ServerDirectoryHooks MakeServerDirectoryHooks();
+  SessionRelayHooks MakeRelayHooks();
+  StatementExchangeHooks MakeExchangeHooks();
   FleetMemberHooks MakeMemberHooks();
   AllowanceExchangeHooks MakeAllowanceHooks();
   StoreMirrorOptions MakeConfigurationMirrorOptions() const {
@@ -155,6 +155,8 @@
   ServerDirectory servers;
   const MemberRecord self;
   SessionRelay relay;
+  ForwardedSessions forwarded_sessions;
+  StatementExchange statement_exchange;
   AllowanceExchange allowances;  ///< Destroyed before `relay`: it holds callbacks of sessions.
   FleetMember member;
   StoreMirror configuration_mirror;
@@ -191,8 +193,42 @@
   return result;
 }
 
+SessionRelayHooks RelayDaemon::State::MakeRelayHooks() {
+  SessionRelayHooks hooks;
+  hooks.open_channel = this->platform.open_channel;
+  hooks.primary_suspected = [this](const std::string& database) {
+    this->member.OnPrimarySuspected(database);
+  };
+  hooks.admit = [this](const std::string& organisation, TimePoint deadline,
+                       std::function<void(const AdmissionVerdict&)> done) {
+    this->allowances.Admit(organisation, deadline, std::move(done));
+  };
+  hooks.forward = [this](const ConnectionHolder& holder, const ForwardedStatement& statement,
+                         Duration timeout, const ForwardCallback& done) {
+    this->statement_exchange.Send(holder, statement, timeout, done);
+  };
+  hooks.end_forwarded = [this](const ConnectionHolder& holder, std::uint64_t session) {
+    this->statement_exchange.End(holder, session);
+  };
+  return hooks;
+}
+
+StatementExchangeHooks RelayDaemon::State::MakeExchangeHooks() {
+  StatementExchangeHooks hooks;
+  hooks.call = [this](const Endpoint& endpoint, const std::string& kind, const std::string& body,
+                      Duration timeout, PeerCallback done) {
+    this->member.Call(endpoint, kind, body, timeout, std::move(done));
+  };
+  hooks.link_open = [this](const Endpoint& endpoint) { return this->member.LinkOpen(endpoint); };
+  return hooks;
+}
+
 FleetMemberHooks RelayDaemon::State::MakeMemberHooks() {
   FleetMemberHooks hooks;
+  hooks.handlers = this->statement_exchange.Handlers();
+  hooks.links_ended = [this](const std::string& member) {
+    this->forwarded_sessions.EndAllOf(member);
+  };
   hooks.configuration_received = [this](const std::string& text) {
     this->ApplyConfiguration(text, "member");
   };
@@ -226,7 +262,12 @@
   hooks.call = [this](const Endpoint& target, const std::string& body,
                       std::function<void(const std::optional<std::string>&)> done) {
     this->member.Call(target, "allowance", body, AllowanceExchange::kRequestTimeout,
-                      std::move(done));
+                      [this, done = std::move(done)](const PeerAnswer& reply) {
+                        if (!reply.Ok()) {
+                          this->metrics.Increment(Metric::kPeerErrors, {"allowance"});
+                        }
+                        done(reply.Ok() ? std::optional<std::string>(reply.body) : std::nullopt);
+                      });
   };
   hooks.request_configuration = [this] { this->member.RequestState(); };
   return hooks;
@@ -509,6 +550,7 @@
   this->relay.Tick();
   this->allowances.Tick();
   this->acceptance.Tick();
+  this->forwarded_sessions.Tick();
   this->member.Tick();
   const bool cut_off = this->member.CutOff();
   if (std::exchange(this->cut_off, cut_off) != cut_off) {
@@ -558,6 +600,7 @@
   this->callers_at_stop = std::max<std::size_t>(this->callers.size(), 1);
   this->logger.Info("stopping", {{"signal", absl::StrCat(signal)},
                                  {"sessions", absl::StrCat(this->callers.size())}});
+  this->forwarded_sessions.StopAccepting();
   this->member.PrepareToLeave();
 }
 
@@ -585,7 +628,7 @@
   }
   if (elapsed >= idle_from + kIdleCloseSpread) {
     this->caller_server.Stop();
-    if (this->callers.empty()) {
+    if (this->callers.empty() && this->forwarded_sessions.Count() == 0) {
       this->End();
       return;
     }
