Run large statements on the relay's own connections

Cause: a holder runs up to 256 statements of other relays, bounded by their number only. With messages of 1 MiB, as misbehaving callers send them, they hold more than the 112 MB of the smallest VM.

Change: a statement of more than 16 KiB, with the session's variables and its prepared text, is not forwarded, so that the forwarded statements of a holder hold at most 4 MiB.

--- a/src/relay/caller_session.h
+++ b/src/relay/caller_session.h
@@ -174,6 +174,8 @@
   /// Organisation whose connections the statements use.
   /// True if statements for the session's database are sent to holders.
   bool MayForward() const;
+  /// Bytes of the active statement and of the session's state that goes with it to a holder.
+  std::size_t ForwardedBytes() const;
   /// True if the holder, and not this relay, requires a log position for the active statement.
   bool HolderChecksPosition() const;
   /// Sends the active statement to the holder of the connections to `server`, or refuses it if the
--- a/src/relay/caller_session_forwarding.cc
+++ b/src/relay/caller_session_forwarding.cc
@@ -8,9 +8,22 @@
 
 namespace sycamoredrum {
 
+std::size_t RelayCallerSession::ForwardedBytes() const {
+  std::size_t bytes = this->active->statement.text.size();
+  for (const auto& [name, value] : this->profile.variables) {
+    bytes += name.size() + value.size();
+  }
+  const auto prepared = this->profile.prepared.find(this->active->statement.name);
+  if (prepared != this->profile.prepared.end()) {
+    bytes += prepared->second.prepared_text.size();
+  }
+  return bytes;
+}
+
 bool RelayCallerSession::MayForward() const {
   const auto cap = this->relay.configuration->connection_caps.find(this->route.database);
   return !this->origin && !this->active->own_connection &&
+         this->ForwardedBytes() <= StatementForwarder::kMaxMessageBytes &&
          cap != this->relay.configuration->connection_caps.end() &&
          this->relay.forwarder.Applies(cap->second, this->relay.fleet_size);
 }
--- a/src/relay/statement_forwarder.h
+++ b/src/relay/statement_forwarder.h
@@ -21,6 +21,10 @@
  public:
   /// Holders that are tried for one statement before the relay uses its own connections.
   static constexpr std::size_t kMaxHoldersTried = 2;
+  /// A statement that is larger, with the session's state that goes with it, runs on an own
+  /// connection. The 256 statements that a holder runs for others then hold at most 4 MiB of its
+  /// memory; with 1 MiB each, they would exceed that of a small VM.
+  static constexpr std::size_t kMaxMessageBytes = std::size_t{16} * 1024;
   /// The holder gets this much less time for a statement than is left. It covers the way there and
   /// back between regions (20 ms each), so that a refusal at the end of the time limit still
   /// arrives in time.
--- a/src/relay/statement_forwarding_test.cc
+++ b/src/relay/statement_forwarding_test.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "simulated_relays_test.h"
+#include "statement_forwarder.h"
 
 namespace sycamoredrum {
 namespace {
@@ -111,6 +112,18 @@
   EXPECT_EQ(this->relays.sent, 0);
 }
 
+// Guards against large statements of many relays that together exceed a holder's memory.
+TEST_F(StatementForwardingTest, LargeStatementsRunOnOwnConnections) {
+  TestCaller& caller = this->Open("place");
+  EXPECT_TRUE(this->Succeeds(caller, StatementKind::kWrite, "small"));
+  EXPECT_EQ(this->relays.sent, 1);
+  Statement large = MakeStatement(StatementKind::kWrite, "large");
+  large.text = std::string(StatementForwarder::kMaxMessageBytes + 1, 'x');
+  EXPECT_FALSE(this->Run(caller, large).error);
+  EXPECT_EQ(this->RunsOf("large").size(), 1U);
+  EXPECT_EQ(this->relays.sent, 1);
+}
+
 // Guards against a holder that forwards a statement to the next one, and so on.
 TEST_F(StatementForwardingTest, AHolderNeverForwardsFurther) {
   // The holder of the primary expects the other one to hold the connections.
