Log when a configuration is announced and from where it came

A relay that handles callers by an old configuration could not be explained from its log: it did not show whether the relay knew of the later version, which member it asked, how that ended, and how old the version was when it was applied.

configuration_announced names the version and the member that reported it, configuration_request_failed the source and the reason (the first failure of a series; the counter sycamoredrum_peer_errors_total{kind="state"} has all), and configuration_applied has the age since the announcement and the endpoint of the source instead of "member". store_lost and store_regained for the configuration have the time since the last successful call. The histogram sycamoredrum_configuration_lag_seconds, until now only filled by the proxy, is filled by relays, too.

No decision changes.

--- a/src/relay_daemon/fleet_exchange.cc
+++ b/src/relay_daemon/fleet_exchange.cc
@@ -95,12 +95,14 @@
     request.servers_fingerprint = this->servers.Fingerprint();
   }
   this->LinkTo(target).Call("state", ToJson(request), kRequestTimeout,
-                            [this](const PeerAnswer& reply) {
+                            [this, source = target.ToString()](const PeerAnswer& reply) {
                               this->state_request_in_flight = false;
                               const std::optional<SharedState> state =
                                   reply.Ok() ? ParseSharedState(reply.body) : std::nullopt;
                               if (state) {
-                                this->OnState(*state);
+                                this->OnState(*state, source);
+                              } else {
+                                this->configuration_update.RequestFailed(source, reply.message);
                               }
                             });
 }
@@ -124,12 +126,12 @@
   return chosen;
 }
 
-void FleetMember::OnState(const SharedState& state) {
+void FleetMember::OnState(const SharedState& state, const std::string& source) {
   if (!state.peers.empty()) {
     this->peers = state.peers;
   }
   if (state.configuration > this->configuration_version && !state.configuration_text.empty()) {
-    this->hooks.configuration_received(state.configuration_text);
+    this->hooks.configuration_received(state.configuration_text, source);
   }
   if (this->hooks.needs_servers() && state.servers && !state.servers->empty()) {
     this->servers.Replace(*state.servers);
--- a/src/relay_daemon/fleet_member.cc
+++ b/src/relay_daemon/fleet_member.cc
@@ -87,7 +87,8 @@
       last_notices(clock.Now()),
       last_state_request(clock.Now()),
       grants_logged_at(clock.Now()),
-      answer_received(clock.Now()) {}
+      answer_received(clock.Now()),
+      configuration_update(clock, logger, metrics) {}
 
 // A member registers before it reads the leader's key. So a later leader finds the registration,
 // and the member finds an earlier leader by the key.
@@ -120,6 +121,7 @@
     // A restarted leader may have read an older configuration from a store that was restored.
     const auto sender = this->members.find(message->member);
     if (message->configuration > this->configuration_version && sender != this->members.end()) {
+      this->configuration_update.Announce(message->configuration, message->member);
       this->RequestStateFrom(sender->second.endpoint);
     }
     answer.configuration = this->configuration_version;
@@ -439,6 +441,7 @@
   this->relay.GrantsChanged();
   this->hooks.heartbeat_answered(answer, sent);
   if (answer.configuration > this->configuration_version) {
+    this->configuration_update.Announce(answer.configuration, this->leader->member);
     this->RequestState();
   }
   if (answer.servers_version == 0) {
@@ -553,6 +556,7 @@
 
 void FleetMember::ConfigurationChanged(const RelayConfiguration& configuration) {
   this->configuration_version = configuration.version;
+  this->configuration_update.Applied(configuration.version);
   this->leader_role.SetDatabases(configuration.connection_caps);
 }
 
--- a/src/relay_daemon/fleet_member.h
+++ b/src/relay_daemon/fleet_member.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "configuration_update.h"
 #include "fleet_leader.h"
 #include "fleet_messages.h"
 #include "holder_list.h"
@@ -25,8 +26,8 @@
 namespace sycamoredrum {
 
 struct FleetMemberHooks {
-  /// Another member sent a configuration; `text` is its value in the store.
-  std::function<void(const std::string& text)> configuration_received;
+  /// The member at `source` sent a configuration; `text` is its value in the store.
+  std::function<void(const std::string& text, const std::string& source)> configuration_received;
   /// Returns the configuration for members that cannot read the store.
   std::function<SharedState()> shared_state;
   /// True while this process cannot read the backend servers' records from the store.
@@ -144,6 +145,8 @@
   /// leader receives the failure.
   void OnPrimarySuspected(const std::string& database);
   void ConfigurationChanged(const RelayConfiguration& configuration);
+  /// How long this process has known of a later configuration than the one that it uses.
+  Duration ConfigurationAge() const { return this->configuration_update.Age(); }
   /// Reports that the record of a backend server that this process uses was added or changed.
   void PutServer(const BackendServerRecord& record);
   /// Reports that this process no longer uses a backend server.
@@ -211,7 +214,7 @@
   void OnAnswer(const HeartbeatAnswer& answer, TimePoint sent);
   void RequestStateFrom(const Endpoint& target);
   void RequestServers(std::uint64_t epoch);
-  void OnState(const SharedState& state);
+  void OnState(const SharedState& state, const std::string& source);
 
   void Revoke(const std::string& member, const RevocationMessage& message,
               std::function<void(const std::optional<RevocationAnswer>&)> done);
@@ -284,6 +287,7 @@
   std::int64_t answer_stamp = 0;   ///< Stamp of the last heartbeat answer.
   TimePoint answer_received;
   std::uint64_t configuration_version = 0;
+  ConfigurationUpdate configuration_update;
   std::uint64_t own_servers_version = 1;  ///< Version of this process's records; grows.
   std::uint64_t servers_epoch = 0;        ///< Epoch of the leader of `servers_version`.
   std::uint64_t servers_version = 0;      ///< Version of the leader's records in use; 0: none.
--- a/src/relay_daemon/relay_daemon.cc
+++ b/src/relay_daemon/relay_daemon.cc
@@ -128,6 +128,7 @@
 
   bool Start();
   bool Listen();
+  /// `source` is "store" or the endpoint of the member that sent `text`.
   void ApplyConfiguration(const std::string& text, const std::string& source);
   void LogOrganisationFindings(const RelayConfiguration& configuration);
   /// With organisations, logs at most one refused session per second.
@@ -229,8 +230,8 @@
   hooks.links_ended = [this](const std::string& member) {
     this->forwarded_sessions.EndAllOf(member);
   };
-  hooks.configuration_received = [this](const std::string& text) {
-    this->ApplyConfiguration(text, "member");
+  hooks.configuration_received = [this](const std::string& text, const std::string& source) {
+    this->ApplyConfiguration(text, source);
   };
   hooks.shared_state = [this] {
     SharedState state;
@@ -288,8 +289,10 @@
   };
   hooks.synchronized = [] {};
   hooks.reachable = [this](bool reachable) {
-    this->logger.Info(reachable ? "store_regained" : "store_lost",
-                      {{"keys", this->platform.configuration_key}});
+    const Duration since = this->clock.Now() - this->configuration_mirror.LastSuccess();
+    this->logger.Info(
+        reachable ? "store_regained" : "store_lost",
+        {{"keys", this->platform.configuration_key}, {"last_success_ms", LogMilliseconds(since)}});
   };
   hooks.restored = [this](std::uint64_t era) {
     this->logger.Warning("store_restored",
@@ -455,6 +458,7 @@
     // Without a configuration, every caller would be answered that its route does not exist.
     this->caller_server.Accept();
   }
+  const Duration age = this->member.ConfigurationAge();
   this->configuration_text = text;
   this->allowances.SetLimits(RateLimitsOf(*configuration));
   this->relay.SetConfiguration(configuration);
@@ -464,6 +468,7 @@
                     {{"version", absl::StrCat(configuration->version)},
                      {"previous", absl::StrCat(present)},
                      {"routes", absl::StrCat(configuration->routes.size())},
+                     {"age_ms", LogMilliseconds(age)},
                      {"source", source}});
   this->LogOrganisationFindings(*configuration);
 }
