Read a list from the store to its end while it arrives

What callers saw: requests handled by an earlier version, 6 s and more after a later one was confirmed, on relays with narrow links and large configurations.

Cause: a call to the store had 1 s in all. A configuration or a list of server records that takes longer to arrive was cut off and read again from its beginning, each time with the same end; the cut-off transfers filled the link.

HttpTest.AResponseThatStopsArrivingEndsTheCall guards the other direction.

--- a/src/include/sycamoredrum/http.h
+++ b/src/include/sycamoredrum/http.h
@@ -162,6 +162,15 @@
   Duration max_idle = std::chrono::seconds(20);  ///< Not used by HttpConnection.
 };
 
+/// Time limits of a call. A response that arrives steadily may take longer than `call`, so that a
+/// large one can be received over a slow link.
+struct HttpTimeLimits {
+  Duration call{};  ///< For connecting, sending and receiving.
+  /// From the receipt of a part of the response to that of the next one. Zero: only `call` counts.
+  Duration progress{};
+  Duration total{};  ///< For the whole call if `progress` is not zero.
+};
+
 /// HTTP/1.1 client that keeps idle connections for reuse. A request is sent at most once: after any
 /// part of it was sent, it is never retried on another connection.
 ///
@@ -178,6 +187,9 @@
   /// timeout covers connecting, sending and receiving.
   void Call(const Endpoint& endpoint, const HttpRequest& request, Duration timeout,
             HttpCallback callback);
+  /// As above, with the limits of `limits`.
+  void Call(const Endpoint& endpoint, const HttpRequest& request, const HttpTimeLimits& limits,
+            HttpCallback callback);
 
  private:
   struct State;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -18,7 +18,8 @@
 }
 
 void HttpConnection::Send(const HttpRequest& request, Duration timeout, HttpCallback callback) {
-  this->stream->Send(request, std::chrono::steady_clock::now() + timeout, std::move(callback));
+  this->stream->Send(request, HttpDeadline{std::chrono::steady_clock::now() + timeout, {}, {}},
+                     std::move(callback));
 }
 
 void HttpConnection::Close() { this->stream->Close(); }
@@ -34,7 +35,7 @@
   struct PendingCall {
     Endpoint endpoint;
     HttpRequest request;
-    TimePoint deadline;
+    HttpDeadline deadline;
     HttpCallback callback;
   };
 
@@ -112,16 +113,16 @@
 
 void HttpClient::State::SendOnNewConnection(const std::shared_ptr<PendingCall>& call) {
   auto stream = std::make_shared<Stream>(this->loop, this->options, call->endpoint);
-  stream->Connect(
-      call->deadline, [self = this->shared_from_this(), call, stream](const HttpResult& connected) {
-        if (!connected.Ok()) {
-          call->callback(connected);
-          return;
-        }
-        stream->Send(call->request, call->deadline, [self, call, stream](const HttpResult& result) {
-          self->Finish(*call, stream, result);
-        });
-      });
+  stream->Connect(call->deadline.call, [self = this->shared_from_this(), call,
+                                        stream](const HttpResult& connected) {
+    if (!connected.Ok()) {
+      call->callback(connected);
+      return;
+    }
+    stream->Send(call->request, call->deadline, [self, call, stream](const HttpResult& result) {
+      self->Finish(*call, stream, result);
+    });
+  });
 }
 
 void HttpClient::State::Finish(const PendingCall& call, const std::shared_ptr<Stream>& stream,
@@ -143,8 +144,15 @@
 
 void HttpClient::Call(const Endpoint& endpoint, const HttpRequest& request, Duration timeout,
                       HttpCallback callback) {
-  auto call = std::make_shared<State::PendingCall>(State::PendingCall{
-      endpoint, request, this->state->loop.Now() + timeout, std::move(callback)});
+  this->Call(endpoint, request, HttpTimeLimits{timeout, {}, {}}, std::move(callback));
+}
+
+void HttpClient::Call(const Endpoint& endpoint, const HttpRequest& request,
+                      const HttpTimeLimits& limits, HttpCallback callback) {
+  const TimePoint now = this->state->loop.Now();
+  const HttpDeadline deadline{now + limits.call, limits.progress, now + limits.total};
+  auto call = std::make_shared<State::PendingCall>(
+      State::PendingCall{endpoint, request, deadline, std::move(callback)});
   if (const std::shared_ptr<State::Stream> stream = this->state->TakeIdle(endpoint)) {
     this->state->SendOnIdleConnection(call, stream);
   } else {
--- a/src/net/http_stream.cc
+++ b/src/net/http_stream.cc
@@ -3,6 +3,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/http/read.hpp>
@@ -93,7 +94,7 @@
   });
 }
 
-void HttpConnection::Stream::Send(const HttpRequest& request, TimePoint deadline,
+void HttpConnection::Stream::Send(const HttpRequest& request, const HttpDeadline& deadline,
                                   HttpCallback callback) {
   boost::asio::post(
       this->stream.get_executor(), [self = this->shared_from_this(), request, deadline,
@@ -118,7 +119,8 @@
         }
         self->message.body() = request.body;
         self->message.prepare_payload();
-        self->stream.expires_at(deadline);
+        self->deadline = deadline;
+        self->stream.expires_at(deadline.call);
         self->StartSend(std::move(callback));
       });
 }
@@ -140,16 +142,29 @@
 void HttpConnection::Stream::ReadResponse(HttpCallback callback) {
   this->parser.emplace();
   this->parser->body_limit(this->options.max_response_bytes);
-  http::async_read(
+  this->ReadPart(std::move(callback));
+}
+
+void HttpConnection::Stream::ReadPart(HttpCallback callback) {
+  http::async_read_some(
       this->stream, this->buffer, *this->parser,
       [self = this->shared_from_this(), callback = std::move(callback)](const error_code& error,
-                                                                        std::size_t) {
+                                                                        std::size_t) mutable {
         if (error || self->closed) {
           const std::string reason = error ? error.message() : "the connection was closed";
           self->Fail(HttpError::kMaybeReceived, "no complete response: " + reason, callback);
           return;
         }
-        self->OnResponse(callback);
+        if (self->parser->is_done()) {
+          self->OnResponse(callback);
+          return;
+        }
+        if (self->deadline.progress > Duration::zero()) {
+          const TimePoint extended = std::chrono::steady_clock::now() + self->deadline.progress;
+          self->stream.expires_at(
+              std::max(self->deadline.call, std::min(extended, self->deadline.total)));
+        }
+        self->ReadPart(std::move(callback));
       });
 }
 
--- a/src/net/http_stream.h
+++ b/src/net/http_stream.h
@@ -14,6 +14,14 @@
 
 namespace sycamoredrum {
 
+/// End of a request's time. If `progress` is not zero, each received part of the response moves it
+/// to at least this time after the receipt, but not beyond `total`.
+struct HttpDeadline {
+  TimePoint call;
+  Duration progress{};
+  TimePoint total;
+};
+
 /// Implementation of HttpConnection. Operations run on the strand of its socket; `open` and `busy`
 /// may be read by any thread.
 class HttpConnection::Stream : public std::enable_shared_from_this<HttpConnection::Stream> {
@@ -21,7 +29,7 @@
   Stream(EventLoop& loop, HttpClientOptions options, Endpoint endpoint);
 
   void Connect(TimePoint deadline, HttpCallback callback);
-  void Send(const HttpRequest& request, TimePoint deadline, HttpCallback callback);
+  void Send(const HttpRequest& request, const HttpDeadline& deadline, HttpCallback callback);
   void Close();
   bool IsOpen() const { return this->open; }
 
@@ -32,6 +40,7 @@
   void StartConnect(HttpCallback callback);
   void StartSend(HttpCallback callback);
   void ReadResponse(HttpCallback callback);
+  void ReadPart(HttpCallback callback);
   void OnResponse(const HttpCallback& callback);
   void Fail(HttpError error, const std::string& message, const HttpCallback& callback);
   /// Returns false if the idle connection is readable, which means that the server closed it or
@@ -46,6 +55,7 @@
   boost::beast::flat_buffer buffer;
   std::optional<Parser> parser;
   Message message;
+  HttpDeadline deadline;  ///< Of the request in progress.
   std::atomic<bool> open{false};
   std::atomic<bool> busy{false};  ///< Connect or Send is in progress.
   bool closed = false;            ///< Closed or failed; used only on the strand.
--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -8,6 +8,7 @@
 #include <thread>
 
 #include "raw_socket.h"
+#include "sycamoredrum/byte_stream.h"
 
 namespace sycamoredrum {
 namespace {
@@ -256,6 +257,29 @@
   }
 }
 
+// A response that stops arriving ends the call, although its time in all is not over.
+TEST_F(HttpTest, AResponseThatStopsArrivingEndsTheCall) {
+  ByteStreamServer stalling(this->loop, ByteStreamOptions{},
+                            [](std::shared_ptr<ByteStream> stream) {
+                              ByteStreamHooks hooks;
+                              hooks.received = [stream](std::string_view) {
+                                stream->Send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc");
+                              };
+                              hooks.closed = [](const std::string&) {};
+                              stream->SetHooks(std::move(hooks));
+                            });
+  const Endpoint address{"127.0.0.1", *stalling.Listen(Endpoint{"127.0.0.1", 0})};
+  stalling.Accept();
+  HttpClient client(this->loop, HttpClientOptions{});
+  std::promise<HttpResult> done;
+  const auto begin = std::chrono::steady_clock::now();
+  client.Call(address, HttpRequest{},
+              HttpTimeLimits{milliseconds(100), milliseconds(200), kTestLimit},
+              [&done](const HttpResult& result) { done.set_value(result); });
+  EXPECT_EQ(done.get_future().get().error, HttpError::kMaybeReceived);
+  EXPECT_LT(std::chrono::steady_clock::now() - begin, kTestLimit);
+}
+
 // Guards against a failure that is reported as kMaybeReceived although no connection was made.
 TEST_F(HttpTest, FailedConnectsAreNotSent) {
   HttpClient client(this->loop, HttpClientOptions{});
