Read a configuration from the store that no member delivers

What callers saw: requests handled by an earlier version, 6 s and more after a later one was confirmed, although the relay reached the leader and the store.

Cause: members of a large fleet get new versions from the leader, and read the store only if the leader is silent or cannot reach the store. Whether the leader is reachable was concluded from heartbeats, which are small. A configuration that takes longer than the 700 ms of a request was dropped and requested again, while the heartbeats kept the relay from reading the store.

A version that is not in use 1.5 s after its announcement is now read from the store.

--- a/src/relay_daemon/configuration_update.h
+++ b/src/relay_daemon/configuration_update.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 
@@ -13,6 +14,10 @@
 /// them. Not thread-safe.
 class ConfigurationUpdate {
  public:
+  /// A version that did not arrive within this time after its announcement is read from the store.
+  /// Leaves most of the 6 s within which a configuration must be in force.
+  static constexpr Duration kMaxWaitForMembers = std::chrono::milliseconds(1500);
+
   ConfigurationUpdate(const Clock& clock, Logger& logger, Metrics& metrics);
 
   /// `member` uses `version`.
@@ -27,6 +32,8 @@
   /// Time since the first announcement of a version later than the one in use; zero if there is
   /// none.
   Duration Age() const;
+  /// True if the other members could not deliver the announced version in time.
+  bool Overdue() const { return this->Age() > kMaxWaitForMembers; }
 
  private:
   const Clock& clock;
--- a/src/relay_daemon/configuration_update_test.cc
+++ b/src/relay_daemon/configuration_update_test.cc
@@ -37,6 +37,15 @@
   EXPECT_EQ(this->update.Age(), Duration::zero());
 }
 
+TEST_F(ConfigurationUpdateTest, AVersionIsOverdueUntilItIsApplied) {
+  this->update.Announce(5, "a");
+  EXPECT_FALSE(this->update.Overdue());
+  this->clock.Advance(ConfigurationUpdate::kMaxWaitForMembers + milliseconds(1));
+  EXPECT_TRUE(this->update.Overdue());
+  this->update.Applied(5);
+  EXPECT_FALSE(this->update.Overdue());
+}
+
 TEST_F(ConfigurationUpdateTest, AnEarlierVersionIsNotAwaited) {
   this->update.Applied(8);
   this->update.Announce(5, "a");
--- a/src/relay_daemon/fleet_member.h
+++ b/src/relay_daemon/fleet_member.h
@@ -127,6 +127,9 @@
   /// True if this process must read the configuration and the servers' records itself. False in a
   /// large fleet while the leader, or probably a new leader soon, reads them for all members.
   bool ReadsStore() const;
+  /// True if another member uses a later configuration than this process and could not deliver it
+  /// in time. Successful heartbeats say nothing about that, because they are small.
+  bool ConfigurationOverdue() const { return this->configuration_update.Overdue(); }
   /// True if the store answered before and is now unreachable. Only the mirror of the leader's key
   /// retries then; the others wait. Otherwise 300 processes with three mirrors each would call a
   /// store that is down.
--- a/src/relay_daemon/relay_daemon.cc
+++ b/src/relay_daemon/relay_daemon.cc
@@ -279,7 +279,8 @@
   hooks.relaxed = [this] { return this->member.LeaderReachable(); };
   hooks.wanted = [this] {
     return !this->member.StoreLost() &&
-           (this->member.ReadsStore() || this->relay.Configuration()->version == 0);
+           (this->member.ReadsStore() || this->member.ConfigurationOverdue() ||
+            this->relay.Configuration()->version == 0);
   };
   hooks.max_retry_delay = [this] { return this->member.MaxStoreRetryDelay(); };
   hooks.changed = [this](const StoreEvent& event) {
