Compress the configuration and the server records between relays

What callers saw: requests handled by an earlier version on some relays, and primaries replaced without a failure, in the seconds after each change of a large configuration.

Cause: the leader sends the whole document to each member, as JSON text that is escaped and encoded anew for each of them. Records of backend servers have the same way.

The answers are compressed with zlib once for each version and kept; the tests' configuration takes less than a fifth. A request says that its sender reads them, so that earlier releases get the text as before. Such requests have 2 s instead of 700 ms, because their answers may be large. A packed text is limited to the size of a message.

--- a/src/relay_daemon/fleet_exchange.cc
+++ b/src/relay_daemon/fleet_exchange.cc
@@ -21,14 +21,17 @@
   const std::uint64_t epoch = this->leader_role.Epoch();
   const std::uint64_t version = this->hooks.needs_servers() ? 0 : this->own_servers_version;
   ServersReply& reply = this->servers_reply;
-  if (reply.epoch != epoch || reply.version != version || reply.text.empty()) {
+  const bool compressed = request.accepts_deflated;
+  if (reply.epoch != epoch || reply.version != version || reply.compressed != compressed ||
+      reply.text.empty()) {
     SharedState state;
     state.epoch = epoch;
     state.servers_version = version;
     state.peers = this->SamplePeers();
-    reply = ServersReply{epoch, version, this->servers.Fingerprint(), "", ToJson(state)};
+    reply =
+        ServersReply{epoch, version, this->servers.Fingerprint(), compressed, "", ToJson(state)};
     state.servers = this->servers.Records();
-    reply.text = ToJson(state);
+    reply.text = compressed ? Pack(ToJson(state)) : ToJson(state);
   }
   return request.servers_fingerprint == reply.fingerprint ? reply.text_without_records : reply.text;
 }
@@ -47,9 +50,9 @@
     return;
   }
   this->last_servers_request = this->clock.Now();
-  const StateRequest request{this->configuration_version, this->servers.Fingerprint()};
+  const StateRequest request{this->configuration_version, this->servers.Fingerprint(), true};
   this->LinkTo(this->leader->endpoint)
-      .Call("servers", ToJson(request), kRequestTimeout,
+      .Call("servers", ToJson(request), kTransferTimeout,
             [this, epoch, own_version = this->own_servers_version](const PeerAnswer& reply) {
               this->servers_request_in_flight = false;
               const std::optional<SharedState> state =
@@ -90,7 +93,7 @@
     return;
   }
   this->last_state_request = this->clock.Now();
-  StateRequest request{this->configuration_version, std::nullopt};
+  StateRequest request{this->configuration_version, std::nullopt, true};
   if (this->hooks.needs_servers()) {
     request.servers_fingerprint = this->servers.Fingerprint();
   }
@@ -107,6 +110,38 @@
                             });
 }
 
+std::string FleetMember::MakeStateReply(const StateRequest& request) {
+  const bool newer = request.configuration < this->configuration_version;
+  const bool servers_differ = request.servers_fingerprint.value_or(this->servers.Fingerprint()) !=
+                              this->servers.Fingerprint();
+  ConfigurationReply& cached = this->configuration_reply;
+  const bool cacheable = newer && !servers_differ && request.accepts_deflated;
+  if (cacheable && cached.version == this->configuration_version &&
+      cached.epoch == this->leader_epoch) {
+    return cached.text;
+  }
+  SharedState state;
+  state.configuration = this->configuration_version;
+  if (newer) {
+    state.configuration_text = this->hooks.configuration_text();
+  }
+  if (servers_differ) {
+    state.servers = this->servers.Records();
+  }
+  state.leader = this->leader;
+  state.epoch = this->leader_epoch;
+  state.peers = this->SamplePeers();
+  const std::string text = ToJson(state);
+  if (!request.accepts_deflated || (!newer && !servers_differ)) {
+    return text;
+  }
+  const std::string packed = Pack(text);
+  if (cacheable) {
+    cached = ConfigurationReply{this->configuration_version, this->leader_epoch, packed};
+  }
+  return packed;
+}
+
 // The sample differs for each version of the records, so that members do not all know the same
 // peers.
 std::vector<Endpoint> FleetMember::SamplePeers() {
--- a/src/relay_daemon/fleet_member.cc
+++ b/src/relay_daemon/fleet_member.cc
@@ -165,18 +165,7 @@
       unreadable(respond);
       return;
     }
-    SharedState state = this->hooks.shared_state();
-    if (wanted->configuration >= state.configuration) {
-      state.configuration_text.clear();
-    }
-    if (wanted->servers_fingerprint.value_or(this->servers.Fingerprint()) !=
-        this->servers.Fingerprint()) {
-      state.servers = this->servers.Records();
-    }
-    state.leader = this->leader;
-    state.epoch = this->leader_epoch;
-    state.peers = this->SamplePeers();
-    respond(PeerReply{ToJson(state), "", ""});
+    respond(PeerReply{this->MakeStateReply(*wanted), "", ""});
   };
   handlers["allowance"] = [this, unreadable](const PeerRequest& request,
                                              const PeerRespond& respond) {
--- a/src/relay_daemon/fleet_member.h
+++ b/src/relay_daemon/fleet_member.h
@@ -28,8 +28,8 @@
 struct FleetMemberHooks {
   /// The member at `source` sent a configuration; `text` is its value in the store.
   std::function<void(const std::string& text, const std::string& source)> configuration_received;
-  /// Returns the configuration for members that cannot read the store.
-  std::function<SharedState()> shared_state;
+  /// Returns the configuration in use, as its value in the store.
+  std::function<std::string()> configuration_text;
   /// True while this process cannot read the backend servers' records from the store.
   std::function<bool()> needs_servers;
   /// The store answered the lookup of this member's registration.
@@ -55,6 +55,8 @@
  public:
   /// Timeout of heartbeats and other requests to members.
   static constexpr Duration kRequestTimeout = std::chrono::milliseconds(700);
+  /// Timeout of requests whose answer may be large, so that it can pass a narrow link.
+  static constexpr Duration kTransferTimeout = std::chrono::seconds(2);
   /// A member that received no answer from the leader for this time queries other members for the
   /// current leader.
   static constexpr Duration kLeaderTimeout = std::chrono::milliseconds(1500);
@@ -182,14 +184,25 @@
     std::uint64_t epoch = 0;
     std::uint64_t version = 0;
     std::uint64_t fingerprint = 0;  ///< Of the records.
+    bool compressed = false;
     std::string text;
     std::string text_without_records;
   };
 
+  /// Compressed answer to a request for the configuration.
+  struct ConfigurationReply {
+    std::uint64_t version = 0;
+    std::uint64_t epoch = 0;  ///< Of the leader that the answer names.
+    std::string text;
+  };
+
   PeerOptions MakeServerOptions() const;
   std::map<std::string, PeerHandler> MakeHandlers();
   /// The answer to a request for the servers' records; serialized again only if they changed.
   std::string MakeServersReply(const StateRequest& request);
+  /// The answer to a request for the configuration and, if the sender asks for them, the servers'
+  /// records.
+  std::string MakeStateReply(const StateRequest& request);
   /// True in a large fleet if the leader is reachable and can reach the store.
   bool LeaderReadsStore() const;
   bool MayRequestServers() const;
@@ -297,7 +310,8 @@
   bool servers_request_in_flight = false;
   HolderList holder_list;             ///< Used only while this process leads.
   std::uint64_t holders_version = 0;  ///< Of the list of holders in use; 0: none.
-  ServersReply servers_reply;         ///< Cached, because all members request the same.
+  ConfigurationReply configuration_reply;
+  ServersReply servers_reply;  ///< Cached, because all members request the same.
   std::string last_reason;
 };
 
--- a/src/relay_daemon/fleet_messages.cc
+++ b/src/relay_daemon/fleet_messages.cc
@@ -1,9 +1,14 @@
 #include "fleet_messages.h"
 
+#include <absl/strings/escaping.h>
+
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "sycamoredrum/peer_link.h"
+#include "text_compression.h"
+
 namespace sycamoredrum {
 namespace {
 
@@ -13,6 +18,10 @@
 // Leaves room for later generations.
 constexpr std::uint64_t kMaxGeneration = std::numeric_limits<std::uint64_t>::max() / 2;
 
+// Limits the memory that a packed text of another member may take. A text without compression has
+// the same limit.
+constexpr std::size_t kMaxPackedBytes = kMaxPeerFrameBytes;
+
 // Durations are transmitted in whole microseconds.
 std::int64_t ToWire(Duration duration) {
   return std::chrono::duration_cast<microseconds>(duration).count();
@@ -355,7 +364,8 @@
 }
 
 std::string ToJson(const StateRequest& request) {
-  Json json = {{"configuration", request.configuration}};
+  Json json = {{"configuration", request.configuration},
+               {"accepts_deflated", request.accepts_deflated}};
   if (request.servers_fingerprint) {
     json["servers_fingerprint"] = *request.servers_fingerprint;
   }
@@ -369,6 +379,7 @@
     if (json.contains("servers_fingerprint")) {
       request.servers_fingerprint = json.at("servers_fingerprint").get<std::uint64_t>();
     }
+    request.accepts_deflated = json.value("accepts_deflated", false);
     return request;
   });
 }
@@ -393,28 +404,56 @@
   return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-std::optional<SharedState> ParseSharedState(const std::string& text) {
-  return Parse<SharedState>(text, [](const Json& json) {
-    SharedState state;
-    state.epoch = json.at("epoch").get<std::uint64_t>();
-    state.configuration = json.at("configuration").get<std::uint64_t>();
-    state.configuration_text = json.at("configuration_text").get<std::string>();
-    state.servers_version = json.at("servers_version").get<std::uint64_t>();
-    if (json.contains("leader")) {
-      state.leader = DecodeMember(json.at("leader"));
+std::string Pack(const std::string& text) {
+  return Json{{"deflated", absl::Base64Escape(Deflate(text))}, {"bytes", text.size()}}.dump();
+}
+
+namespace {
+
+// Returns nothing if the packed text is damaged.
+std::optional<std::string> Unpack(const Json& packed) {
+  const auto size = packed.at("bytes").get<std::size_t>();
+  std::string bytes;
+  if (size > kMaxPackedBytes ||
+      !absl::Base64Unescape(packed.at("deflated").get<std::string>(), &bytes)) {
+    return std::nullopt;
+  }
+  return Inflate(bytes, size);
+}
+
+SharedState DecodeSharedState(const Json& json) {
+  SharedState state;
+  state.epoch = json.at("epoch").get<std::uint64_t>();
+  state.configuration = json.at("configuration").get<std::uint64_t>();
+  state.configuration_text = json.at("configuration_text").get<std::string>();
+  state.servers_version = json.at("servers_version").get<std::uint64_t>();
+  if (json.contains("leader")) {
+    state.leader = DecodeMember(json.at("leader"));
+  }
+  if (json.contains("servers")) {
+    state.servers.emplace();
+    for (const auto& [id, record] : json.at("servers").items()) {
+      state.servers->emplace(id, DecodeServer(id, record));
     }
-    if (json.contains("servers")) {
-      state.servers.emplace();
-      for (const auto& [id, record] : json.at("servers").items()) {
-        state.servers->emplace(id, DecodeServer(id, record));
-      }
+  }
+  if (json.contains("peers")) {
+    for (const Json& peer : json.at("peers")) {
+      state.peers.push_back(ParseEndpoint(peer));
     }
-    if (json.contains("peers")) {
-      for (const Json& peer : json.at("peers")) {
-        state.peers.push_back(ParseEndpoint(peer));
-      }
+  }
+  return state;
+}
+
+}  // namespace
+
+std::optional<SharedState> ParseSharedState(const std::string& text) {
+  return Parse<SharedState>(text, [](const Json& json) -> std::optional<SharedState> {
+    if (!json.contains("deflated")) {
+      return DecodeSharedState(json);
     }
-    return state;
+    const std::optional<std::string> unpacked = Unpack(json);
+    return unpacked ? std::optional<SharedState>(DecodeSharedState(Json::parse(*unpacked)))
+                    : std::nullopt;
   });
 }
 
--- a/src/relay_daemon/fleet_messages.h
+++ b/src/relay_daemon/fleet_messages.h
@@ -147,6 +147,7 @@
   std::uint64_t configuration = 0;
   /// Fingerprint of its records of backend servers; nothing if it does not need records.
   std::optional<std::uint64_t> servers_fingerprint;
+  bool accepts_deflated = false;  ///< The sender reads the result of Pack.
 };
 
 std::string ToJson(const StateRequest& request);
@@ -166,6 +167,9 @@
 };
 
 std::string ToJson(const SharedState& state);
+/// Compresses the result of ToJson; a configuration takes a fifth of its size. Pack(ToJson(state))
+/// is a JSON text that ParseSharedState reads as well.
+std::string Pack(const std::string& json);
 std::optional<SharedState> ParseSharedState(const std::string& json);
 
 }  // namespace sycamoredrum
--- a/src/relay_daemon/fleet_messages_test.cc
+++ b/src/relay_daemon/fleet_messages_test.cc
@@ -1,5 +1,6 @@
 #include "fleet_messages.h"
 
+#include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
 
 #include <random>
@@ -105,6 +106,10 @@
   EXPECT_EQ(shared->peers, state.peers);
   EXPECT_EQ(shared->leader->endpoint, (Endpoint{"10.0.0.1", 80}));
   EXPECT_EQ(shared->configuration_text, state.configuration_text);
+  const auto packed = ParseSharedState(Pack(ToJson(state)));
+  ASSERT_TRUE(packed);
+  EXPECT_EQ(packed->servers, state.servers);
+  EXPECT_EQ(packed->configuration_text, state.configuration_text);
   state.servers.reset();
   EXPECT_FALSE(ParseSharedState(ToJson(state))->servers);
   const auto request = ParseStateRequest(ToJson(StateRequest{12, 0xfedcba9876543210}));
@@ -114,6 +119,31 @@
   EXPECT_FALSE(ParseStateRequest(ToJson(StateRequest{12, std::nullopt}))->servers_fingerprint);
 }
 
+// Guards against a packed state that takes more memory than a message may, and against a damaged
+// one.
+TEST(FleetMessagesTest, UnreadablePackedStatesAreDropped) {
+  const std::string packed = Pack(ToJson(SharedState{}));
+  ASSERT_TRUE(ParseSharedState(packed));
+  EXPECT_FALSE(ParseSharedState(Pack("not a state")));
+  EXPECT_FALSE(ParseSharedState(Pack(packed))) << "packed twice";
+  EXPECT_FALSE(ParseSharedState(R"({"deflated":"AAAA","bytes":10})"));
+  EXPECT_FALSE(ParseSharedState(R"({"deflated":1,"bytes":10})"));
+  EXPECT_FALSE(ParseSharedState(R"({"deflated":"AAAA","bytes":99999999999})"));
+  EXPECT_FALSE(ParseSharedState(R"({"deflated":"AAAA"})"));
+}
+
+// A configuration repeats the names of its fields for each route.
+TEST(FleetMessagesTest, PackedConfigurationsTakeAFifth) {
+  SharedState state;
+  for (int i = 0; i < 1000; ++i) {
+    state.configuration_text +=
+        absl::StrCat(R"({"name":"route)", i * 7919 % 10007, R"(","service":"database)", i % 8,
+                     R"(","consistency":"bounded_staleness","timeout_ms":1200})");
+  }
+  const std::string text = ToJson(state);
+  EXPECT_LT(Pack(text).size(), text.size() / 5);
+}
+
 // Guards against a member that continues to use primaries that the leader no longer grants.
 TEST(KnownPrimariesTest, OnlyAnAnswerOfTheSameVersionRenews) {
   PrimaryVersions versions;
--- a/src/relay_daemon/relay_daemon.cc
+++ b/src/relay_daemon/relay_daemon.cc
@@ -233,12 +233,7 @@
   hooks.configuration_received = [this](const std::string& text, const std::string& source) {
     this->ApplyConfiguration(text, source);
   };
-  hooks.shared_state = [this] {
-    SharedState state;
-    state.configuration = this->relay.Configuration()->version;
-    state.configuration_text = this->configuration_text;
-    return state;
-  };
+  hooks.configuration_text = [this] { return this->configuration_text; };
   hooks.needs_servers = [this] {
     const Duration age = this->clock.Now() - this->servers_mirror.LastSuccess();
     const bool store_unreachable = !this->servers_mirror.Reachable() || this->member.StoreLost();
