Let members deliver the configuration to each other

What callers saw: as before, requests handled by an earlier version after large changes in large fleets, and service lost at the leader meanwhile.

Cause: the leader alone delivered each version to all members. The time this takes grows with the size of the fleet and of the document, its link and its processor; its heartbeats and the renewal of its lease wait behind the transfers.

An answer to a heartbeat now names a member that delivers the version: one that reported it, of the same data centre if possible, and the leader only while there are no others. Each serves four at a time; who finds none asks with the next heartbeat. A member that has applied a version reports it at once. Answers of earlier releases name nobody, and their senders are asked as before.

--- a/src/relay_daemon/fleet_exchange.cc
+++ b/src/relay_daemon/fleet_exchange.cc
@@ -74,7 +74,67 @@
             });
 }
 
-// Queries the leader or, while no leader answers, the seeds and known peers in turn.
+void FleetMember::RequestConfiguration() {
+  if (this->LeaderReachable()) {
+    this->heartbeat_wanted = true;
+  } else {
+    this->RequestState();
+  }
+}
+
+void FleetMember::AddConfigurationSource(const HeartbeatMessage& message, HeartbeatAnswer& answer) {
+  const auto record = this->members.find(message.member);
+  if (answer.epoch == 0 || record == this->members.end()) {
+    return;
+  }
+  const std::string& data_centre = record->second.data_centre;
+  this->configuration_sources.OnReport(message.member, data_centre, message.configuration);
+  if (message.configuration >= this->configuration_version) {
+    return;
+  }
+  answer.configuration_sources.emplace();
+  const std::optional<std::string> source =
+      this->configuration_sources.Choose(message.member, data_centre);
+  if (!source) {
+    return;
+  }
+  const auto chosen = this->members.find(*source);
+  if (*source == this->self.member) {
+    answer.configuration_sources->push_back(this->self.endpoint);
+  } else if (chosen != this->members.end()) {
+    answer.configuration_sources->push_back(chosen->second.endpoint);
+  } else {
+    this->configuration_sources.Remove(*source);
+  }
+}
+
+void FleetMember::FollowAnnouncement(const HeartbeatAnswer& answer) {
+  this->configuration_update.Announce(answer.configuration, this->leader->member);
+  if (!answer.configuration_sources) {
+    this->RequestConfigurationFrom(this->leader->endpoint);
+  } else if (!answer.configuration_sources->empty()) {
+    this->RequestConfigurationFrom(answer.configuration_sources->front());
+  }
+}
+
+void FleetMember::RequestConfigurationFrom(const Endpoint& source) {
+  if (std::exchange(this->configuration_request_in_flight, true)) {
+    return;
+  }
+  const StateRequest request{this->configuration_version, std::nullopt, true};
+  this->LinkTo(source).Call("state", ToJson(request), kTransferTimeout,
+                            [this, name = source.ToString()](const PeerAnswer& reply) {
+                              this->configuration_request_in_flight = false;
+                              const std::optional<SharedState> state =
+                                  reply.Ok() ? ParseSharedState(reply.body) : std::nullopt;
+                              if (state) {
+                                this->OnState(*state, name);
+                              } else {
+                                this->configuration_update.RequestFailed(name, reply.message);
+                              }
+                            });
+}
+
 void FleetMember::RequestState() {
   const bool leader_answers = this->leader && this->leader->member != this->self.member &&
                               this->clock.Now() - this->last_answer <= kLeaderTimeout;
--- a/src/relay_daemon/fleet_member.cc
+++ b/src/relay_daemon/fleet_member.cc
@@ -88,7 +88,8 @@
       last_state_request(clock.Now()),
       grants_logged_at(clock.Now()),
       answer_received(clock.Now()),
-      configuration_update(clock, logger, metrics) {}
+      configuration_update(clock, logger, metrics),
+      configuration_sources(this->self.member, clock, random) {}
 
 // A member registers before it reads the leader's key. So a later leader finds the registration,
 // and the member finds an earlier leader by the key.
@@ -128,6 +129,7 @@
     answer.servers_version = this->hooks.needs_servers() ? 0 : this->own_servers_version;
     answer.fleet_size = this->members.size();
     this->AddHolders(*message, answer);
+    this->AddConfigurationSource(*message, answer);
     respond(PeerReply{ToJson(answer), "", ""});
   };
   handlers["revoke"] = [this, unreadable](const PeerRequest& request, PeerRespond respond) {
@@ -430,8 +432,7 @@
   this->relay.GrantsChanged();
   this->hooks.heartbeat_answered(answer, sent);
   if (answer.configuration > this->configuration_version) {
-    this->configuration_update.Announce(answer.configuration, this->leader->member);
-    this->RequestState();
+    this->FollowAnnouncement(answer);
   }
   if (answer.servers_version == 0) {
     // The leader cannot read the records from the store; this process reads them itself.
@@ -546,6 +547,9 @@
 void FleetMember::ConfigurationChanged(const RelayConfiguration& configuration) {
   this->configuration_version = configuration.version;
   this->configuration_update.Applied(configuration.version);
+  this->configuration_sources.SetVersion(configuration.version);
+  // The leader learns that this process can deliver the version.
+  this->heartbeat_wanted = true;
   this->leader_role.SetDatabases(configuration.connection_caps);
 }
 
--- a/src/relay_daemon/fleet_member.h
+++ b/src/relay_daemon/fleet_member.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "configuration_sources.h"
 #include "configuration_update.h"
 #include "fleet_leader.h"
 #include "fleet_messages.h"
@@ -144,8 +145,9 @@
   /// Leaves the fleet. To be called when no statement is in progress. `done` runs when the
   /// registration is removed or the store did not answer in time.
   void Leave(std::function<void()> done);
-  /// Asks the leader or, while no leader answers, another member for a later configuration.
-  void RequestState();
+  /// Another member uses a later configuration than this one. Asks the leader who delivers it or,
+  /// while no leader answers, asks another member for it.
+  void RequestConfiguration();
   /// A primary refused or closed a connection. Sends a heartbeat ahead of schedule, so that the
   /// leader receives the failure.
   void OnPrimarySuspected(const std::string& database);
@@ -229,6 +231,13 @@
   void ApplyHolders(const HeartbeatAnswer& answer);
   void OnAnswer(const HeartbeatAnswer& answer, TimePoint sent);
   void RequestStateFrom(const Endpoint& target);
+  /// Queries the leader or, while no leader answers, the seeds and known peers in turn.
+  void RequestState();
+  /// Adds to the leader's answer who delivers the configuration to the sender of the heartbeat.
+  void AddConfigurationSource(const HeartbeatMessage& message, HeartbeatAnswer& answer);
+  /// Requests the configuration that the leader's answer announces.
+  void FollowAnnouncement(const HeartbeatAnswer& answer);
+  void RequestConfigurationFrom(const Endpoint& source);
   void RequestServers(std::uint64_t epoch);
   void OnState(const SharedState& state, const std::string& source);
 
@@ -304,6 +313,8 @@
   TimePoint answer_received;
   std::uint64_t configuration_version = 0;
   ConfigurationUpdate configuration_update;
+  ConfigurationSources configuration_sources;  ///< Used only while this process leads.
+  bool configuration_request_in_flight = false;
   std::uint64_t own_servers_version = 1;  ///< Version of this process's records; grows.
   std::uint64_t servers_epoch = 0;        ///< Epoch of the leader of `servers_version`.
   std::uint64_t servers_version = 0;      ///< Version of the leader's records in use; 0: none.
--- a/src/relay_daemon/fleet_messages.cc
+++ b/src/relay_daemon/fleet_messages.cc
@@ -269,6 +269,12 @@
     }
     json["holders_version"] = answer.holders_version;
   }
+  if (answer.configuration_sources) {
+    json["configuration_sources"] = Json::array();
+    for (const Endpoint& source : *answer.configuration_sources) {
+      json["configuration_sources"].push_back(EndpointJson(source));
+    }
+  }
   return json.dump();
 }
 
@@ -314,6 +320,12 @@
       }
       answer.holders_version = json.at("holders_version").get<std::uint64_t>();
     }
+    if (json.contains("configuration_sources")) {
+      answer.configuration_sources.emplace();
+      for (const Json& source : json.at("configuration_sources")) {
+        answer.configuration_sources->push_back(ParseEndpoint(source));
+      }
+    }
     return answer;
   });
 }
--- a/src/relay_daemon/fleet_messages.h
+++ b/src/relay_daemon/fleet_messages.h
@@ -84,6 +84,9 @@
   std::uint64_t epoch = 0;
   std::int64_t stamp = 0;  ///< Time of the leader's clock; opaque to members.
   std::uint64_t configuration = 0;
+  /// Members to request `configuration` from. Empty if none has capacity at present; absent if the
+  /// receiver needs none, or the sender is an earlier release that delivers all itself.
+  std::optional<std::vector<Endpoint>> configuration_sources;
   /// Grows with each change of the leader's records of backend servers; 0: they may be outdated.
   std::uint64_t servers_version = 0;
   /// False if the leader does not find the member's registration in the store.
--- a/src/relay_daemon/fleet_messages_test.cc
+++ b/src/relay_daemon/fleet_messages_test.cc
@@ -81,8 +81,15 @@
   EXPECT_EQ(parsed->heartbeat_interval, Duration(milliseconds(800)));
   EXPECT_EQ(parsed->primaries_version, 9u);
   EXPECT_EQ(parsed->positions.at("orders").position, (LogPosition{2, 8}));
+  EXPECT_FALSE(parsed->configuration_sources);
   answer.primaries.reset();
+  answer.configuration_sources = {Endpoint{"10.0.0.3", 82}};
   EXPECT_FALSE(ParseHeartbeatAnswer(ToJson(answer))->primaries);
+  EXPECT_EQ(ParseHeartbeatAnswer(ToJson(answer))->configuration_sources,
+            answer.configuration_sources);
+  answer.configuration_sources->clear();
+  EXPECT_EQ(ParseHeartbeatAnswer(ToJson(answer))->configuration_sources,
+            answer.configuration_sources);
 
   SharedState state;
   state.leader = MemberRecord{"m1", "a", "dc", Endpoint{"10.0.0.1", 80}};
--- a/src/relay_daemon/relay_daemon.cc
+++ b/src/relay_daemon/relay_daemon.cc
@@ -265,7 +265,7 @@
                         done(reply.Ok() ? std::optional<std::string>(reply.body) : std::nullopt);
                       });
   };
-  hooks.request_configuration = [this] { this->member.RequestState(); };
+  hooks.request_configuration = [this] { this->member.RequestConfiguration(); };
   return hooks;
 }
 
