Do not name a restarted member as a source of the configuration

A member that starts again reports version 0, but stayed on the list of those that have the latest version; members that were sent to it got nothing until their next heartbeat. It is removed. Found by reading, tested in ConfigurationSourcesTest.MembersThatLeftOrHaveAnEarlierVersionServeNobody.

--- a/src/relay_daemon/configuration_sources.cc
+++ b/src/relay_daemon/configuration_sources.cc
@@ -21,6 +21,7 @@
 void ConfigurationSources::OnReport(const std::string& member, const std::string& data_centre,
                                     std::uint64_t reported) {
   if (reported < this->version) {
+    this->RemoveSource(member);  // The process has started again.
     return;
   }
   this->EndTransfer(member);
@@ -87,6 +88,10 @@
 
 void ConfigurationSources::Remove(const std::string& member) {
   this->EndTransfer(member);
+  this->RemoveSource(member);
+}
+
+void ConfigurationSources::RemoveSource(const std::string& member) {
   const auto found = this->sources.find(member);
   if (found == this->sources.end()) {
     return;
--- a/src/relay_daemon/configuration_sources.h
+++ b/src/relay_daemon/configuration_sources.h
@@ -47,6 +47,7 @@
   /// True if `source` may serve one more member. Ends its transfers that took too long.
   bool HasCapacity(const std::string& source);
   void EndTransfer(const std::string& receiver);
+  void RemoveSource(const std::string& member);
   std::optional<std::string> Sample(const std::vector<std::string>& members);
 
   const std::string leader;
--- a/src/relay_daemon/configuration_sources_test.cc
+++ b/src/relay_daemon/configuration_sources_test.cc
@@ -59,6 +59,8 @@
   this->sources.OnReport("old", "a", 1);
   this->sources.OnReport("left", "a", 2);
   this->sources.Remove("left");
+  this->sources.OnReport("restarted", "a", 2);
+  this->sources.OnReport("restarted", "a", 0);
   EXPECT_EQ(this->sources.Choose("m", "a"), "leader");
   this->sources.OnReport("m", "a", 2);
   this->sources.SetVersion(3);
