Compress large answers to heartbeats

The same cause in other state: an answer with all primaries (the first one after a start or a change of the leader) or with the list of connection holders is large in a fleet with many databases. If it takes longer than 700 ms, it is dropped, and the next heartbeat asks for all of it again.

Answers of 4 KiB and more are compressed if the member says that it reads them.

--- a/src/relay_daemon/fleet_exchange.cc
+++ b/src/relay_daemon/fleet_exchange.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "fleet_member.h"
+#include "packed_json.h"
 
 // Exchange of the configuration and the backend servers' records between members.
 
--- a/src/relay_daemon/fleet_member.cc
+++ b/src/relay_daemon/fleet_member.cc
@@ -6,11 +6,15 @@
 #include <string_view>
 #include <utility>
 
+#include "packed_json.h"
+
 namespace sycamoredrum {
 namespace {
 
 constexpr Duration kStateRequestInterval = std::chrono::seconds(1);
 constexpr Duration kRevocationPollInterval = std::chrono::milliseconds(10);
+// Shorter answers to heartbeats are not compressed. They fit into a few packets.
+constexpr std::size_t kMinPackedBytes = 4096;
 constexpr Duration kLeaveTimeout = std::chrono::milliseconds(400);
 
 StoreMirrorOptions MakeLeaderMirrorOptions() {
@@ -130,7 +134,11 @@
     answer.fleet_size = this->members.size();
     this->AddHolders(*message, answer);
     this->AddConfigurationSource(*message, answer);
-    respond(PeerReply{ToJson(answer), "", ""});
+    std::string text = ToJson(answer);
+    if (message->accepts_deflated && text.size() >= kMinPackedBytes) {
+      text = Pack(text);
+    }
+    respond(PeerReply{std::move(text), "", ""});
   };
   handlers["revoke"] = [this, unreadable](const PeerRequest& request, PeerRespond respond) {
     const std::optional<RevocationMessage> message = ParseRevocation(request.body);
@@ -324,6 +332,7 @@
   message.epoch = this->grants.Epoch();
   message.configuration = this->configuration_version;
   message.primaries_version = this->known_primaries.VersionFor(message.epoch);
+  message.accepts_deflated = true;
   if (this->answer_stamp != 0 && this->answer_epoch == message.epoch) {
     message.echoed_stamp = this->answer_stamp;
     message.echo_held = now - this->answer_received;
--- a/src/relay_daemon/fleet_messages.cc
+++ b/src/relay_daemon/fleet_messages.cc
@@ -1,13 +1,10 @@
 #include "fleet_messages.h"
 
-#include <absl/strings/escaping.h>
-
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "sycamoredrum/peer_link.h"
-#include "text_compression.h"
+#include "packed_json.h"
 
 namespace sycamoredrum {
 namespace {
@@ -18,10 +15,6 @@
 // Leaves room for later generations.
 constexpr std::uint64_t kMaxGeneration = std::numeric_limits<std::uint64_t>::max() / 2;
 
-// Limits the memory that a packed text of another member may take. A text without compression has
-// the same limit.
-constexpr std::size_t kMaxPackedBytes = kMaxPeerFrameBytes;
-
 // Durations are transmitted in whole microseconds.
 std::int64_t ToWire(Duration duration) {
   return std::chrono::duration_cast<microseconds>(duration).count();
@@ -48,6 +41,18 @@
   }
 }
 
+// Parses a text that may be the result of Pack.
+template <typename Value, typename Decode>
+std::optional<Value> ParsePacked(const std::string& text, Decode decode) {
+  return Parse<Value>(text, [&decode](const Json& json) -> std::optional<Value> {
+    if (!IsPacked(json)) {
+      return decode(json);
+    }
+    const std::optional<std::string> unpacked = Unpack(json);
+    return unpacked ? std::optional<Value>(decode(Json::parse(*unpacked))) : std::nullopt;
+  });
+}
+
 Json EndpointJson(const Endpoint& endpoint) { return endpoint.ToString(); }
 
 Endpoint ParseEndpoint(const Json& json) {
@@ -195,6 +200,9 @@
   if (message.holders_version != 0) {
     json["holders_version"] = message.holders_version;
   }
+  if (message.accepts_deflated) {
+    json["accepts_deflated"] = true;
+  }
   return json.dump();
 }
 
@@ -226,6 +234,7 @@
       message.processor_share = json.at("processor_share").get<double>();
     }
     message.holders_version = json.value("holders_version", std::uint64_t{0});
+    message.accepts_deflated = json.value("accepts_deflated", false);
     return message;
   });
 }
@@ -279,7 +288,7 @@
 }
 
 std::optional<HeartbeatAnswer> ParseHeartbeatAnswer(const std::string& text) {
-  return Parse<HeartbeatAnswer>(text, [](const Json& json) {
+  return ParsePacked<HeartbeatAnswer>(text, [](const Json& json) {
     HeartbeatAnswer answer;
     answer.epoch = json.at("epoch").get<std::uint64_t>();
     answer.stamp = json.at("stamp").get<std::int64_t>();
@@ -416,23 +425,8 @@
   return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-std::string Pack(const std::string& text) {
-  return Json{{"deflated", absl::Base64Escape(Deflate(text))}, {"bytes", text.size()}}.dump();
-}
-
 namespace {
 
-// Returns nothing if the packed text is damaged.
-std::optional<std::string> Unpack(const Json& packed) {
-  const auto size = packed.at("bytes").get<std::size_t>();
-  std::string bytes;
-  if (size > kMaxPackedBytes ||
-      !absl::Base64Unescape(packed.at("deflated").get<std::string>(), &bytes)) {
-    return std::nullopt;
-  }
-  return Inflate(bytes, size);
-}
-
 SharedState DecodeSharedState(const Json& json) {
   SharedState state;
   state.epoch = json.at("epoch").get<std::uint64_t>();
@@ -459,14 +453,7 @@
 }  // namespace
 
 std::optional<SharedState> ParseSharedState(const std::string& text) {
-  return Parse<SharedState>(text, [](const Json& json) -> std::optional<SharedState> {
-    if (!json.contains("deflated")) {
-      return DecodeSharedState(json);
-    }
-    const std::optional<std::string> unpacked = Unpack(json);
-    return unpacked ? std::optional<SharedState>(DecodeSharedState(Json::parse(*unpacked)))
-                    : std::nullopt;
-  });
+  return ParsePacked<SharedState>(text, DecodeSharedState);
 }
 
 }  // namespace sycamoredrum
--- a/src/relay_daemon/fleet_messages.h
+++ b/src/relay_daemon/fleet_messages.h
@@ -67,6 +67,7 @@
   /// Fraction of a processor core that the member gets. Only where relays forward statements.
   std::optional<double> processor_share;
   std::uint64_t holders_version = 0;  ///< Of the list of holders that the member has; 0: none.
+  bool accepts_deflated = false;      ///< The member reads an answer that was compressed by Pack.
 };
 
 std::string ToJson(const HeartbeatMessage& message);
@@ -114,6 +115,7 @@
 };
 
 std::string ToJson(const HeartbeatAnswer& answer);
+/// Reads a packed text as well.
 std::optional<HeartbeatAnswer> ParseHeartbeatAnswer(const std::string& json);
 
 /// Revokes a member's grants of `database` up to `generation`.
@@ -170,9 +172,7 @@
 };
 
 std::string ToJson(const SharedState& state);
-/// Compresses the result of ToJson; a configuration takes a fifth of its size. Pack(ToJson(state))
-/// is a JSON text that ParseSharedState reads as well.
-std::string Pack(const std::string& json);
+/// Reads a packed text as well.
 std::optional<SharedState> ParseSharedState(const std::string& json);
 
 }  // namespace sycamoredrum
--- a/src/relay_daemon/fleet_messages_test.cc
+++ b/src/relay_daemon/fleet_messages_test.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "known_primaries.h"
+#include "packed_json.h"
 #include "sycamoredrum/relay_settings.h"
 
 namespace sycamoredrum {
@@ -87,6 +88,8 @@
   EXPECT_FALSE(ParseHeartbeatAnswer(ToJson(answer))->primaries);
   EXPECT_EQ(ParseHeartbeatAnswer(ToJson(answer))->configuration_sources,
             answer.configuration_sources);
+  EXPECT_EQ(ParseHeartbeatAnswer(Pack(ToJson(answer)))->configuration_sources,
+            answer.configuration_sources);
   answer.configuration_sources->clear();
   EXPECT_EQ(ParseHeartbeatAnswer(ToJson(answer))->configuration_sources,
             answer.configuration_sources);
