--- a/src/relay_daemon/fleet_exchange.cc
+++ b/src/relay_daemon/fleet_exchange.cc
@@ -192,11 +192,11 @@
   state.leader = this->leader;
   state.epoch = this->leader_epoch;
   state.peers = this->SamplePeers();
-  const std::string text = ToJson(state);
+  std::string text = ToJson(state);
   if (!request.accepts_deflated || (!newer && !servers_differ)) {
     return text;
   }
-  const std::string packed = Pack(text);
+  std::string packed = Pack(text);
   if (cacheable) {
     cached = ConfigurationReply{this->configuration_version, this->leader_epoch, packed};
   }
