Wait longer for a configuration that is being received

With configurations of several MB, limits of 2 s for a member and 10 s for the store end transfers that would succeed, and after 1.5 s all members read the store at once while their transfers from each other still run.

The test of the fallback now has a leader that answers after 10 s instead of 1 s, which is stricter, and AVersionThatArrivesLateFromTheLeaderIsUsed has the case of 1 s.

--- a/src/relay_daemon/configuration_delivery_test.cc
+++ b/src/relay_daemon/configuration_delivery_test.cc
@@ -81,18 +81,19 @@
 };
 
 /// The leader of a large fleet. It answers heartbeats at once, and reports that it uses `version`
-/// and reaches the store. Its answers with a configuration take longer than a request may.
+/// and reaches the store. An answer with a configuration takes `transfer_time`.
 class BusyLeader {
  public:
-  explicit BusyLeader(std::uint64_t version)
+  BusyLeader(std::uint64_t version, Duration transfer_time)
       : loop(1),
         server(this->loop, PeerIdentity{"leader", "dc1", kFleetKey}, PeerOptions{},
                {{"heartbeat",
                  [this, version](const PeerRequest& request, const PeerRespond& respond) {
                    this->OnHeartbeat(version, request, respond);
                  }},
-                {"state", [this, version](const PeerRequest&, const PeerRespond& respond) {
-                   this->loop.RunAfter(seconds(1), [version, respond] {
+                {"state",
+                 [this, version, transfer_time](const PeerRequest&, const PeerRespond& respond) {
+                   this->loop.RunAfter(transfer_time, [version, respond] {
                      SharedState state;
                      state.configuration = version;
                      state.configuration_text = std::to_string(version);
@@ -145,7 +146,8 @@
 /// A relay that has read version 1 of its configuration, which is its number.
 class ConfigurationDeliveryTest : public testing::Test {
  protected:
-  ConfigurationDeliveryTest() : leader(2) {
+  void StartRelay(Duration transfer_time) {
+    this->leader = std::make_unique<BusyLeader>(2, transfer_time);
     RelaySettings settings;
     settings.member_id = "member";
     settings.data_centre = "dc1";
@@ -157,7 +159,7 @@
       this->store = std::make_shared<MemoryStore>(loop);
       this->loop = &loop;
       this->store->Put(kConfigurationKey, "1");
-      this->store->Put(kLeaderKey, ToJson(this->leader.Record()));
+      this->store->Put(kLeaderKey, ToJson(this->leader->Record()));
       RelayPlatform platform;
       platform.implementation = this->store;
       platform.store = this->store->Hooks();
@@ -175,9 +177,11 @@
     this->daemon = std::make_unique<RelayDaemon>(
         settings, make_platform,
         [](std::string&) -> std::optional<RelaySettings> { return std::nullopt; });
+    ASSERT_TRUE(this->daemon->Start()) << this->daemon->LastReason();
+    ASSERT_TRUE(this->leader->WaitForVersion(1, seconds(5)));
   }
 
-  BusyLeader leader;
+  std::unique_ptr<BusyLeader> leader;
   std::shared_ptr<MemoryStore> store;
   EventLoop* loop = nullptr;
   std::unique_ptr<RelayDaemon> daemon;
@@ -186,11 +190,16 @@
 // Heartbeats that succeed kept a relay from reading the store, although the configuration that they
 // announced never arrived: each request was given up before its answer came, and then sent again.
 TEST_F(ConfigurationDeliveryTest, AVersionThatTheLeaderCannotDeliverInTimeIsReadFromTheStore) {
-  ASSERT_TRUE(this->daemon->Start()) << this->daemon->LastReason();
-  ASSERT_TRUE(this->leader.WaitForVersion(1, seconds(5)));
+  this->StartRelay(seconds(10));
   this->loop->Post([this] { this->store->Put(kConfigurationKey, "2"); });
   // A new configuration must be in force after 6 s.
-  EXPECT_TRUE(this->leader.WaitForVersion(2, seconds(6)));
+  EXPECT_TRUE(this->leader->WaitForVersion(2, seconds(6)));
+}
+
+// The store has version 1 only, so that version 2 comes from the leader.
+TEST_F(ConfigurationDeliveryTest, AVersionThatArrivesLateFromTheLeaderIsUsed) {
+  this->StartRelay(seconds(1));
+  EXPECT_TRUE(this->leader->WaitForVersion(2, seconds(6)));
 }
 
 }  // namespace
--- a/src/relay_daemon/configuration_update.cc
+++ b/src/relay_daemon/configuration_update.cc
@@ -23,6 +23,8 @@
                                                 {"member", member}});
 }
 
+bool ConfigurationUpdate::BeginRequest() { return !std::exchange(this->requesting, true); }
+
 // Logs the first failure of a series; the counter has all of them.
 void ConfigurationUpdate::RequestFailed(const std::string& source, const std::string& reason) {
   this->metrics.Increment(Metric::kPeerErrors, {"state"});
--- a/src/relay_daemon/configuration_update.h
+++ b/src/relay_daemon/configuration_update.h
@@ -14,14 +14,23 @@
 /// them. Not thread-safe.
 class ConfigurationUpdate {
  public:
-  /// A version that did not arrive within this time after its announcement is read from the store.
-  /// Leaves most of the 6 s within which a configuration must be in force.
+  /// A version that is not being received within this time after its announcement is read from the
+  /// store. Leaves most of the 6 s within which a configuration must be in force.
   static constexpr Duration kMaxWaitForMembers = std::chrono::milliseconds(1500);
+  /// The same while a member may be sending it. If all members of a large fleet read a large
+  /// configuration from the store, each gets it later than from another member.
+  static constexpr Duration kMaxTransferTime = std::chrono::seconds(3);
+  /// Timeout of a request for the configuration to a member.
+  static constexpr Duration kRequestTimeout = std::chrono::seconds(4);
 
   ConfigurationUpdate(const Clock& clock, Logger& logger, Metrics& metrics);
 
   /// `member` uses `version`.
   void Announce(std::uint64_t version, const std::string& member);
+  /// To be called before a member is asked for the announced version. Returns false if such a
+  /// request is in progress.
+  bool BeginRequest();
+  void EndRequest() { this->requesting = false; }
   /// A request for the announced version to the member at `source` failed.
   void RequestFailed(const std::string& source, const std::string& reason);
   /// This process uses `version` from now on.
@@ -33,7 +42,9 @@
   /// none.
   Duration Age() const;
   /// True if the other members could not deliver the announced version in time.
-  bool Overdue() const { return this->Age() > kMaxWaitForMembers; }
+  bool Overdue() const {
+    return this->Age() > (this->requesting ? kMaxTransferTime : kMaxWaitForMembers);
+  }
 
  private:
   const Clock& clock;
@@ -41,8 +52,9 @@
   Metrics& metrics;
   std::uint64_t present = 0;  ///< Version in use.
   std::uint64_t pending = 0;
-  TimePoint pending_since;     ///< When `pending` was announced.
-  TimePoint behind_since;      ///< When the first version later than `present` was announced.
+  TimePoint pending_since;  ///< When `pending` was announced.
+  TimePoint behind_since;   ///< When the first version later than `present` was announced.
+  bool requesting = false;
   std::uint64_t failures = 0;  ///< Failed requests since the last version was applied.
 };
 
--- a/src/relay_daemon/configuration_update_test.cc
+++ b/src/relay_daemon/configuration_update_test.cc
@@ -46,6 +46,21 @@
   EXPECT_FALSE(this->update.Overdue());
 }
 
+// Guards against a fleet that reads a large configuration from the store all at once, while its
+// members are still receiving it from each other.
+TEST_F(ConfigurationUpdateTest, AVersionThatIsBeingReceivedIsOverdueLater) {
+  this->update.Announce(5, "a");
+  EXPECT_TRUE(this->update.BeginRequest());
+  EXPECT_FALSE(this->update.BeginRequest());
+  this->clock.Advance(ConfigurationUpdate::kMaxWaitForMembers + milliseconds(1));
+  EXPECT_FALSE(this->update.Overdue());
+  this->clock.Advance(ConfigurationUpdate::kMaxTransferTime -
+                      ConfigurationUpdate::kMaxWaitForMembers);
+  EXPECT_TRUE(this->update.Overdue());
+  this->update.EndRequest();
+  EXPECT_TRUE(this->update.BeginRequest());
+}
+
 TEST_F(ConfigurationUpdateTest, AnEarlierVersionIsNotAwaited) {
   this->update.Applied(8);
   this->update.Announce(5, "a");
--- a/src/relay_daemon/fleet_exchange.cc
+++ b/src/relay_daemon/fleet_exchange.cc
@@ -53,7 +53,7 @@
   this->last_servers_request = this->clock.Now();
   const StateRequest request{this->configuration_version, this->servers.Fingerprint(), true};
   this->LinkTo(this->leader->endpoint)
-      .Call("servers", ToJson(request), kTransferTimeout,
+      .Call("servers", ToJson(request), kServersTimeout,
             [this, epoch, own_version = this->own_servers_version](const PeerAnswer& reply) {
               this->servers_request_in_flight = false;
               const std::optional<SharedState> state =
@@ -119,13 +119,13 @@
 }
 
 void FleetMember::RequestConfigurationFrom(const Endpoint& source) {
-  if (std::exchange(this->configuration_request_in_flight, true)) {
+  if (!this->configuration_update.BeginRequest()) {
     return;
   }
   const StateRequest request{this->configuration_version, std::nullopt, true};
-  this->LinkTo(source).Call("state", ToJson(request), kTransferTimeout,
+  this->LinkTo(source).Call("state", ToJson(request), ConfigurationUpdate::kRequestTimeout,
                             [this, name = source.ToString()](const PeerAnswer& reply) {
-                              this->configuration_request_in_flight = false;
+                              this->configuration_update.EndRequest();
                               const std::optional<SharedState> state =
                                   reply.Ok() ? ParseSharedState(reply.body) : std::nullopt;
                               if (state) {
--- a/src/relay_daemon/fleet_member.h
+++ b/src/relay_daemon/fleet_member.h
@@ -56,8 +56,8 @@
  public:
   /// Timeout of heartbeats and other requests to members.
   static constexpr Duration kRequestTimeout = std::chrono::milliseconds(700);
-  /// Timeout of requests whose answer may be large, so that it can pass a narrow link.
-  static constexpr Duration kTransferTimeout = std::chrono::seconds(2);
+  /// Timeout of requests for the servers' records, which may be large.
+  static constexpr Duration kServersTimeout = std::chrono::seconds(2);
   /// A member that received no answer from the leader for this time queries other members for the
   /// current leader.
   static constexpr Duration kLeaderTimeout = std::chrono::milliseconds(1500);
@@ -314,10 +314,9 @@
   std::uint64_t configuration_version = 0;
   ConfigurationUpdate configuration_update;
   ConfigurationSources configuration_sources;  ///< Used only while this process leads.
-  bool configuration_request_in_flight = false;
-  std::uint64_t own_servers_version = 1;  ///< Version of this process's records; grows.
-  std::uint64_t servers_epoch = 0;        ///< Epoch of the leader of `servers_version`.
-  std::uint64_t servers_version = 0;      ///< Version of the leader's records in use; 0: none.
+  std::uint64_t own_servers_version = 1;       ///< Version of this process's records; grows.
+  std::uint64_t servers_epoch = 0;             ///< Epoch of the leader of `servers_version`.
+  std::uint64_t servers_version = 0;           ///< Version of the leader's records in use; 0: none.
   bool servers_request_in_flight = false;
   HolderList holder_list;             ///< Used only while this process leads.
   std::uint64_t holders_version = 0;  ///< Of the list of holders in use; 0: none.
