--- a/src/net/http_test.cc
+++ b/src/net/http_test.cc
@@ -259,15 +259,18 @@
 
 // A response that stops arriving ends the call, although its time in all is not over.
 TEST_F(HttpTest, AResponseThatStopsArrivingEndsTheCall) {
-  ByteStreamServer stalling(this->loop, ByteStreamOptions{},
-                            [](std::shared_ptr<ByteStream> stream) {
-                              ByteStreamHooks hooks;
-                              hooks.received = [stream](std::string_view) {
-                                stream->Send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc");
-                              };
-                              hooks.closed = [](const std::string&) {};
-                              stream->SetHooks(std::move(hooks));
-                            });
+  std::vector<std::shared_ptr<ByteStream>> streams;
+  ByteStreamServer stalling(
+      this->loop, ByteStreamOptions{}, [&streams](std::shared_ptr<ByteStream> stream) {
+        ByteStreamHooks hooks;
+        // The stream owns its hooks.
+        hooks.received = [weak = std::weak_ptr<ByteStream>(stream)](std::string_view) {
+          weak.lock()->Send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc");
+        };
+        hooks.closed = [](const std::string&) {};
+        stream->SetHooks(std::move(hooks));
+        streams.push_back(std::move(stream));
+      });
   const Endpoint address{"127.0.0.1", *stalling.Listen(Endpoint{"127.0.0.1", 0})};
   stalling.Accept();
   HttpClient client(this->loop, HttpClientOptions{});
@@ -278,6 +281,8 @@
               [&done](const HttpResult& result) { done.set_value(result); });
   EXPECT_EQ(done.get_future().get().error, HttpError::kMaybeReceived);
   EXPECT_LT(std::chrono::steady_clock::now() - begin, kTestLimit);
+  this->loop.Stop();
+  this->loop.Join();
 }
 
 // Guards against a failure that is reported as kMaybeReceived although no connection was made.
