Log on which answers a primary is chosen

The line primary_chosen did not tell whether the selection ended because all candidates had an outcome, because one had the whole log, or at its time limit, nor what each candidate had answered; in a large fleet the lines of the probes are limited to 20 a second.

The line now has the basis, the time since the grants ended and the last outcome of each server.

--- a/src/include/sycamoredrum/primary_authority.h
+++ b/src/include/sycamoredrum/primary_authority.h
@@ -365,7 +365,8 @@
   void OnCandidate(const std::string& name, std::uint64_t replacement, const std::string& server,
                    const BackendProbe& probe);
   void Select(const std::string& name, Database& database);
-  void Choose(const std::string& name, Database& database, const std::string& target);
+  void Choose(const std::string& name, Database& database, const std::string& target,
+              const std::string& basis);
   void GiveUpHandOver(const std::string& name, Database& database);
   void StoreRecord(const std::string& name, Database& database);
   void OnRecordStored(const std::string& name, Database& database, const PrimaryRecord& record,
--- a/src/leader/primary_replacement.cc
+++ b/src/leader/primary_replacement.cc
@@ -6,6 +6,22 @@
 #include "sycamoredrum/primary_authority.h"
 
 namespace sycamoredrum {
+namespace {
+
+// The answers of the servers, for a log line.
+std::string Describe(const std::map<std::string, BackendProbe>& candidates) {
+  static constexpr const char* kOutcomes[] = {"answered", "busy", "not_listening", "no_answer"};
+  std::string text;
+  for (const auto& [server, probe] : candidates) {
+    absl::StrAppend(&text, text.empty() ? "" : " ", server, ":",
+                    probe.outcome == ProbeOutcome::kAnswered
+                        ? probe.received.ToString()
+                        : kOutcomes[static_cast<int>(probe.outcome)]);
+  }
+  return text;
+}
+
+}  // namespace
 
 // Called when an earlier leader revoked the generation but did not finish the replacement. The
 // server stays the primary, under a new generation that members accept.
@@ -186,7 +202,7 @@
     const bool caught_up = best != nullptr && database.final_position &&
                            best_probe->received >= *database.final_position;
     if (caught_up) {
-      this->Choose(name, database, best->id);
+      this->Choose(name, database, best->id, "whole_log");
     } else if (elapsed > kCatchUpLimit) {
       this->GiveUpHandOver(name, database);
     } else if (now >= database.next_call) {
@@ -202,7 +218,8 @@
   const bool has_all = best != nullptr && database.final_position &&
                        best_probe->received >= *database.final_position;
   if (best != nullptr && (complete || has_all || elapsed > kSelectionLimit)) {
-    this->Choose(name, database, best->id);
+    const std::string basis = has_all ? "whole_log" : complete ? "all_probed" : "time_limit";
+    this->Choose(name, database, best->id, basis);
   } else if (now >= database.next_call) {
     if (elapsed > kSelectionLimit) {
       database.failed_targets.clear();
@@ -212,12 +229,15 @@
 }
 
 void PrimaryAuthority::Choose(const std::string& name, Database& database,
-                              const std::string& target) {
+                              const std::string& target, const std::string& basis) {
   const BackendProbe& probe = database.candidates[target];
   this->logger.Info(
       "primary_chosen",
       {{"database", name},
        {"server", target},
+       {"basis", basis},
+       {"elapsed_ms", LogMilliseconds(this->clock.Now() - database.phase_started)},
+       {"servers", Describe(database.candidates)},
        {"position", probe.received.ToString()},
        {"final_position",
         database.final_position ? database.final_position->ToString() : "unknown"},
