Read the number of synchronous replicas from the configuration

The choice of a primary must know on how many replicas an acknowledged commit is, but the decoder ignored syncReplicas.

--- a/src/include/sycamoredrum/primary_authority.h
+++ b/src/include/sycamoredrum/primary_authority.h
@@ -255,6 +255,9 @@
   /// Sets the databases, and for each the number of connections that one of its backend servers
   /// admits.
   void SetDatabases(const std::map<std::string, int>& connection_caps);
+  /// Sets the number of replicas that have received a commit before it is acknowledged, by
+  /// database; 0 for databases that are not named.
+  void SetSynchronousReplicas(const std::map<std::string, int>& replicas);
 
   /// Handles a heartbeat and returns the answer, which has epoch 0 if this process does not lead,
   /// does not know the member, or the member is not registered.
@@ -406,6 +409,7 @@
   GrantHolders holders;
   std::map<std::string, Database> databases;
   std::map<std::string, int> connection_caps;
+  std::map<std::string, int> synchronous_replicas;
   std::map<std::string, std::map<std::string, int>> shares;  ///< By member and backend server.
   TimePoint shares_at;
   int promotions_in_flight = 0;
--- a/src/include/sycamoredrum/relay_configuration.h
+++ b/src/include/sycamoredrum/relay_configuration.h
@@ -45,6 +45,8 @@
   std::uint64_t version = 0;
   std::map<std::string, RelayRoute> routes;    ///< By name.
   std::map<std::string, int> connection_caps;  ///< Limit per backend server, by database.
+  /// Number of replicas that have received a commit before it is acknowledged, by database.
+  std::map<std::string, int> synchronous_replicas;
   Duration transaction_idle_timeout{};
   Duration session_idle_timeout{};
   /// Organisations and their keys; null if the configuration has none, and no caller needs a key.
--- a/src/leader/primary_authority.cc
+++ b/src/leader/primary_authority.cc
@@ -153,6 +153,10 @@
   }
 }
 
+void PrimaryAuthority::SetSynchronousReplicas(const std::map<std::string, int>& replicas) {
+  this->synchronous_replicas = replicas;
+}
+
 void PrimaryAuthority::Enter(const std::string& name, Database& database, Phase phase) {
   static constexpr const char* kNames[] = {"discover", "serving", "revoke", "select",
                                            "record",   "promote", "confirm"};
--- a/src/relay_daemon/fleet_leader.cc
+++ b/src/relay_daemon/fleet_leader.cc
@@ -292,6 +292,10 @@
   this->authority.SetDatabases(connection_caps);
 }
 
+void FleetLeader::SetSynchronousReplicas(const std::map<std::string, int>& replicas) {
+  this->authority.SetSynchronousReplicas(replicas);
+}
+
 void FleetLeader::Tick() {
   this->authority.Tick();
   if (this->Leading()) {
--- a/src/relay_daemon/fleet_leader.h
+++ b/src/relay_daemon/fleet_leader.h
@@ -82,6 +82,8 @@
   /// Sets the databases. `connection_caps` is the number of connections that one of their backend
   /// servers admits.
   void SetDatabases(const std::map<std::string, int>& connection_caps);
+  /// See PrimaryAuthority::SetSynchronousReplicas.
+  void SetSynchronousReplicas(const std::map<std::string, int>& replicas);
   /// Reports the epoch of another leader. Ends this leadership if that epoch is later.
   void ObserveEpoch(std::uint64_t epoch) { this->leadership.ObserveEpoch(epoch); }
   /// Must be called about every 50 ms.
--- a/src/relay_daemon/fleet_member.cc
+++ b/src/relay_daemon/fleet_member.cc
@@ -559,6 +559,7 @@
   this->configuration_sources.SetVersion(configuration.version);
   // The leader learns that this process can deliver the version.
   this->heartbeat_wanted = true;
+  this->leader_role.SetSynchronousReplicas(configuration.synchronous_replicas);
   this->leader_role.SetDatabases(configuration.connection_caps);
 }
 
