--- a/src/include/sycamoredrum/primary_authority.h
+++ b/src/include/sycamoredrum/primary_authority.h
@@ -12,6 +12,7 @@
 #include <tuple>
 #include <vector>
 
+#include "sycamoredrum/backend_probe.h"
 #include "sycamoredrum/clock.h"
 #include "sycamoredrum/coordination_store.h"
 #include "sycamoredrum/freshness_window.h"
@@ -20,6 +21,7 @@
 #include "sycamoredrum/platform.h"
 #include "sycamoredrum/relay_configuration.h"
 #include "sycamoredrum/status.h"
+#include "sycamoredrum/successor_selection.h"
 
 namespace sycamoredrum {
 
@@ -94,21 +96,6 @@
   std::map<std::string, int> connections;
 };
 
-enum class ProbeOutcome {
-  kAnswered,
-  kBusy,  ///< The server runs, but has no capacity to answer the status request.
-  kNotListening,
-  kNoAnswer,
-};
-
-/// Answer of a backend server to a status request.
-struct BackendProbe {
-  ProbeOutcome outcome = ProbeOutcome::kNoAnswer;
-  Role role = Role::kReplica;
-  std::uint64_t term = 0;
-  LogPosition received;  ///< End of the server's log; its last entries may not be applied yet.
-};
-
 enum class PromoteOutcome {
   kAccepted,
   kNotRunning,  ///< The chosen server does not run; nothing happened.
@@ -127,8 +114,11 @@
   std::function<void(const std::string& member, std::uint64_t epoch, const std::string& database,
                      std::uint64_t generation, bool planned, RevocationCallback)>
       revoke;
-  /// Requests the status of a backend server.
-  std::function<void(const BackendServerRecord&, std::function<void(const BackendProbe&)>)> probe;
+  /// Requests the status of a backend server. Without an answer, the outcome is reported as
+  /// kNoAnswer after `timeout`.
+  std::function<void(const BackendServerRecord&, Duration timeout,
+                     std::function<void(const BackendProbe&)>)>
+      probe;
   /// Stores the record if this process still leads and the present record has `revision`.
   std::function<void(const std::string& database, const PrimaryRecord&, std::uint64_t revision,
                      std::function<void(PlatformStatus, std::uint64_t revision)>)>
@@ -152,9 +142,10 @@
 /// must be replaced, and replaces it.
 ///
 /// A replacement takes these steps: all grants for the old primary end (revocations acknowledged,
-/// or grants expired); the successor is chosen by the end of its log; the record that names it is
-/// stored; the platform is requested to promote it; it confirms that it leads. A new leader that
-/// finds a record that is not serving repeats these steps for the server that it names.
+/// or grants expired); the successor is chosen by the end of its log (SuccessorSelection); the
+/// record that names it is stored; the platform is requested to promote it; it confirms that it
+/// leads. A new leader that finds a record that is not serving repeats these steps for the server
+/// that it names.
 ///
 /// The store may return from an older copy and lose records and registrations. A record of an
 /// earlier era of the store is therefore not trusted: a new leader asks the servers which one
@@ -184,6 +175,8 @@
   /// A probe counts as unanswered after this time.
   static constexpr Duration kProbeTimeout = std::chrono::milliseconds(300);
   static constexpr int kUnansweredProbesUntilFailed = 2;
+  /// Time limit for the answer to a status request, except of the candidates for a primary.
+  static constexpr Duration kStatusTimeout = std::chrono::milliseconds(500);
   /// Time for the servers of a database to report a primary when no record names it.
   static constexpr Duration kDiscoveryLimit = std::chrono::milliseconds(2400);
   /// A primary is replaced after this number of refused connections in a row: no server listens.
@@ -212,8 +205,8 @@
   static constexpr std::size_t kHandOverPercent = 25;
   /// Time limit for a successor to receive the last commits of a primary that still runs.
   static constexpr Duration kCatchUpLimit = std::chrono::milliseconds(1500);
-  /// Time for the candidates to answer when the primary is lost, or before a planned change.
-  static constexpr Duration kSelectionLimit = std::chrono::milliseconds(400);
+  /// Time for a candidate with the whole log to be found before a planned change.
+  static constexpr Duration kCandidateLimit = std::chrono::milliseconds(400);
   /// Minimum time between hand-overs of one database, and after one that was given up.
   static constexpr Duration kHandOverPause = std::chrono::seconds(3);
   /// If the successor does not lead within this time, the promotion is requested again.
@@ -320,9 +313,15 @@
     LogPosition min_successor_position;
     /// Members that may still use a grant of the database from before its replacement.
     std::set<std::string> awaiting;
-    std::map<std::string, BackendProbe> candidates;
+    std::map<std::string, BackendProbe> discovered;  ///< Answers to the probes of a discovery.
     std::size_t discovery_probes_in_flight = 0;
-    std::optional<LogPosition> final_position;  ///< End of the old primary's log.
+    SuccessorSelection successors;
+    std::optional<LogPosition> final_position;  ///< Newest position in a member's acknowledgement.
+    /// Every member that held a grant has reported its newest position; none has expired instead.
+    bool all_acknowledged = false;
+    /// The primary's log is known to contain this position, and a successor must have it; see
+    /// SuccessorRequirements::floor.
+    std::optional<LogPosition> floor;
     std::set<std::string> failed_targets;
     std::string target;  ///< Server that the next record names.
     /// Term in which the target already claimed to lead when it was chosen. Until its promotion
@@ -337,6 +336,11 @@
     std::uint64_t replacement = 0;
     std::uint64_t step = 0;  ///< Incremented with each phase; late callbacks are recognised by it.
 
+    void ObserveNewest(const PositionObservation& observation) {
+      this->newest = observation;
+      this->floor = this->floor.value_or(observation.position);
+    }
+
     void ObserveTerm(const BackendProbe& probe) {
       if (probe.outcome == ProbeOutcome::kAnswered) {
         this->known_term = std::max(this->known_term, probe.term);
@@ -345,6 +349,7 @@
   };
 
   std::map<std::string, PrimaryRecord> TrustedRecords() const;
+  void ReplicaRemoved(Database& database, const BackendServerRecord& server) const;
   void Enter(const std::string& name, Database& database, Phase phase);
   void Discover(const std::string& name, Database& database);
   void FinishDiscovery(const std::string& name, Database& database);
@@ -364,13 +369,18 @@
   void OnRevocation(const std::string& name, std::uint64_t step, const std::string& member,
                     bool acknowledged, const std::optional<LogPosition>& newest);
   void CheckRevocations(const std::string& name, Database& database);
+  void BeginSelection(const std::string& name, Database& database);
   void ProbeCandidates(const std::string& name, Database& database);
   void OnCandidate(const std::string& name, std::uint64_t replacement, const std::string& server,
-                   const BackendProbe& probe);
+                   const BackendProbe& probe, TimePoint sent);
   void Select(const std::string& name, Database& database);
-  void Choose(const std::string& name, Database& database, const std::string& target,
-              const std::string& basis);
+  std::vector<SuccessorCandidate> Candidates(const std::string& name,
+                                             const Database& database) const;
+  SuccessorRequirements Requirements(const std::string& name, const Database& database) const;
+  bool OldPrimaryLeads(const Database& database) const;
+  void Choose(const std::string& name, Database& database, const SuccessorChoice& choice);
   void GiveUpHandOver(const std::string& name, Database& database);
+  void ResumeOldPrimary(const std::string& name, Database& database);
   void StoreRecord(const std::string& name, Database& database);
   void OnRecordStored(const std::string& name, Database& database, const PrimaryRecord& record,
                       PlatformStatus status, std::uint64_t revision);
@@ -412,6 +422,7 @@
   std::map<std::string, int> synchronous_replicas;
   std::map<std::string, std::map<std::string, int>> shares;  ///< By member and backend server.
   TimePoint shares_at;
+  std::uint64_t last_replacement = 0;
   int promotions_in_flight = 0;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);  ///< Expires with the object.
 };
--- a/src/include/sycamoredrum/relay_platform.h
+++ b/src/include/sycamoredrum/relay_platform.h
@@ -47,8 +47,10 @@
   std::shared_ptr<const void> implementation;
   CoordinationStore store;
   OpenBackendChannel open_channel;
-  /// Requests the status of a backend server.
-  std::function<void(const BackendServerRecord&, std::function<void(const BackendProbe&)>)> probe;
+  /// Requests the status of a backend server; see PrimaryAuthorityHooks::probe.
+  std::function<void(const BackendServerRecord&, Duration timeout,
+                     std::function<void(const BackendProbe&)>)>
+      probe;
   /// Notifies a backend server that it was replaced as the primary by one of a later `term`.
   std::function<void(const BackendServerRecord&, std::uint64_t term)> demote;
   /// Makes `server` the primary of `database`. `holder` and `epoch` identify the leader that
--- a/src/leader/primary_authority.cc
+++ b/src/leader/primary_authority.cc
@@ -89,6 +89,7 @@
       // one.
       database.target = database.record.server;
       database.resume_promotion = true;
+      this->BeginSelection(name, database);
       this->Enter(name, database, Phase::kRevoke);
       this->AwaitAllHolders(database);
       this->SendRevocations(name, database);
@@ -124,10 +125,27 @@
 }
 
 void PrimaryAuthority::RemoveServer(const std::string& id) {
+  if (const BackendServerRecord* server = this->Find(id)) {
+    const auto found = this->databases.find(server->database);
+    if (found != this->databases.end()) {
+      this->ReplicaRemoved(found->second, *server);
+    }
+  }
   this->servers.erase(id);
   this->draining_since.erase(id);
 }
 
+void PrimaryAuthority::ReplicaRemoved(Database& database, const BackendServerRecord& server) const {
+  if (server.state == BackendServerState::kDraining) {
+    database.successors.Left(server.id);
+  }
+  // The commits of this time may be on no other replica.
+  const bool replica = database.phase == Phase::kServing && server.id != database.record.server;
+  if (replica && database.newest) {
+    database.floor = database.newest->position;
+  }
+}
+
 void PrimaryAuthority::SetMembers(const std::set<std::string>& names) {
   for (auto member = this->members.begin(); member != this->members.end();) {
     member = names.count(member->first) == 0 ? this->members.erase(member) : std::next(member);
@@ -247,7 +265,7 @@
       database.suspected = true;
     }
     if (state.newest && (!database.newest || state.newest->as_of > database.newest->as_of)) {
-      database.newest = state.newest;
+      database.ObserveNewest(*state.newest);
     }
   }
   if (!report.registered) {
@@ -381,23 +399,24 @@
   if (candidates.empty()) {
     return;
   }
-  database.candidates.clear();
+  database.discovered.clear();
   database.next_call = now + kProbeInterval;
   database.discovery_probes_in_flight = candidates.size();
   for (const BackendServerRecord* server : candidates) {
-    this->hooks.probe(
-        *server, [this, name, step = database.step, id = server->id,
-                  weak = std::weak_ptr<bool>(this->alive)](const BackendProbe& probe) {
-          Database* current = weak.expired() ? nullptr : this->DatabaseAtStep(name, step);
-          if (current == nullptr) {
-            return;
-          }
-          current->candidates[id] = probe;
-          current->ObserveTerm(probe);
-          if (--current->discovery_probes_in_flight == 0) {
-            this->FinishDiscovery(name, *current);
-          }
-        });
+    this->hooks.probe(*server, kStatusTimeout,
+                      [this, name, step = database.step, id = server->id,
+                       weak = std::weak_ptr<bool>(this->alive)](const BackendProbe& probe) {
+                        Database* current =
+                            weak.expired() ? nullptr : this->DatabaseAtStep(name, step);
+                        if (current == nullptr) {
+                          return;
+                        }
+                        current->discovered[id] = probe;
+                        current->ObserveTerm(probe);
+                        if (--current->discovery_probes_in_flight == 0) {
+                          this->FinishDiscovery(name, *current);
+                        }
+                      });
   }
 }
 
@@ -406,7 +425,7 @@
   std::uint64_t term = 0;
   bool all_answered = true;
   bool all_run = true;
-  for (const auto& [server, probe] : database.candidates) {
+  for (const auto& [server, probe] : database.discovered) {
     all_answered = all_answered && probe.outcome != ProbeOutcome::kNoAnswer;
     all_run = all_run && probe.outcome != ProbeOutcome::kNotListening;
     if (probe.outcome == ProbeOutcome::kAnswered && probe.role == Role::kPrimary &&
--- a/src/leader/primary_authority_test.cc
+++ b/src/leader/primary_authority_test.cc
@@ -56,7 +56,7 @@
       }
       done(this->revocations_acknowledged, std::nullopt);
     };
-    hooks.probe = [this](const BackendServerRecord& server,
+    hooks.probe = [this](const BackendServerRecord& server, Duration,
                          const std::function<void(const BackendProbe&)>& done) {
       done(this->servers[server.id]);
     };
--- a/src/leader/primary_replacement.cc
+++ b/src/leader/primary_replacement.cc
@@ -6,22 +6,6 @@
 #include "sycamoredrum/primary_authority.h"
 
 namespace sycamoredrum {
-namespace {
-
-// The answers of the servers, for a log line.
-std::string Describe(const std::map<std::string, BackendProbe>& candidates) {
-  static constexpr const char* kOutcomes[] = {"answered", "busy", "not_listening", "no_answer"};
-  std::string text;
-  for (const auto& [server, probe] : candidates) {
-    absl::StrAppend(&text, text.empty() ? "" : " ", server, ":",
-                    probe.outcome == ProbeOutcome::kAnswered
-                        ? probe.received.ToString()
-                        : kOutcomes[static_cast<int>(probe.outcome)]);
-  }
-  return text;
-}
-
-}  // namespace
 
 // Called when an earlier leader revoked the generation but did not finish the replacement. The
 // server stays the primary, under a new generation that members accept.
@@ -46,8 +30,7 @@
   database.claimed_term.reset();
   database.old_server = database.record.server;
   database.final_position.reset();
-  database.candidates.clear();
-  ++database.replacement;
+  this->BeginSelection(name, database);
   this->Enter(name, database, Phase::kRevoke);
   this->AwaitAllHolders(database);
   this->SendRevocations(name, database);
@@ -59,6 +42,7 @@
 // Members without a grant are asked as well; a planned change needs the newest position that they
 // know.
 void PrimaryAuthority::AwaitAllHolders(Database& database) const {
+  database.all_acknowledged = true;
   database.awaiting = this->holders.HoldersAt(this->clock.Now());
   for (const auto& [member, state] : this->members) {
     database.awaiting.insert(member);
@@ -104,6 +88,7 @@
   const TimePoint now = this->clock.Now();
   for (auto member = database.awaiting.begin(); member != database.awaiting.end();) {
     const bool expired = now >= this->holders.End(*member);
+    database.all_acknowledged = database.all_acknowledged && !expired;
     member = expired ? database.awaiting.erase(member) : std::next(member);
   }
   // A member whose registration the store has lost is not asked, but its grant still ends.
@@ -121,128 +106,141 @@
     return;
   }
   this->Enter(name, database, Phase::kSelect);
+  database.successors.GrantsEnded(now);
   if (database.planned) {
     // Answers of the candidates from before the last commit are out of date.
-    database.candidates.clear();
-    this->ProbeCandidates(name, database);
+    database.successors.Forget();
   }
   this->Select(name, database);
 }
 
-// Requests the end of the log from the servers of the database; from the old primary only in the
-// selection of a planned change. Answers that arrive during the revocations are kept for the
-// selection.
+void PrimaryAuthority::BeginSelection(const std::string& name, Database& database) {
+  std::set<std::string> replicas;
+  for (const BackendServerRecord* server : this->ServersOf(name)) {
+    if (server->id != database.old_server) {
+      replicas.insert(server->id);
+    }
+  }
+  database.successors.Begin(std::move(replicas), this->clock.Now());
+  database.replacement = ++this->last_replacement;
+}
+
+// Requests the end of the log from the servers of the database, also from the old primary, unless
+// it is still in use. Answers that arrive during the revocations are kept for the selection.
 void PrimaryAuthority::ProbeCandidates(const std::string& name, Database& database) {
-  database.next_call = this->clock.Now() + kProbeInterval;
+  const TimePoint now = this->clock.Now();
+  const std::uint64_t step = database.step;
   for (const BackendServerRecord* server : this->ServersOf(name)) {
-    const bool final_end_wanted = database.phase == Phase::kSelect && database.planned;
-    if (server->id == database.old_server && !final_end_wanted) {
+    const bool in_use = server->id == database.old_server && database.phase == Phase::kServing;
+    if (in_use || !database.successors.ProbeDue(server->id, database.planned, now)) {
       continue;
     }
-    this->hooks.probe(*server,
-                      [this, name, id = server->id, replacement = database.replacement,
+    database.successors.ProbeSent(server->id, now);
+    this->hooks.probe(*server, SuccessorSelection::kStatusTimeout,
+                      [this, name, id = server->id, replacement = database.replacement, sent = now,
                        weak = std::weak_ptr<bool>(this->alive)](const BackendProbe& probe) {
                         if (!weak.expired()) {
-                          this->OnCandidate(name, replacement, id, probe);
+                          this->OnCandidate(name, replacement, id, probe, sent);
                         }
                       });
+    if (database.step != step) {
+      return;
+    }
   }
 }
 
 void PrimaryAuthority::OnCandidate(const std::string& name, std::uint64_t replacement,
-                                   const std::string& server, const BackendProbe& probe) {
+                                   const std::string& server, const BackendProbe& probe,
+                                   TimePoint sent) {
   const auto found = this->databases.find(name);
   if (found == this->databases.end() || found->second.replacement != replacement) {
     return;
   }
   Database& database = found->second;
   database.ObserveTerm(probe);
-  const bool checking = database.phase == Phase::kServing && database.successor_search_started;
-  if (!checking && database.phase != Phase::kRevoke && database.phase != Phase::kSelect) {
-    return;
+  database.successors.ProbeDone(server, probe, sent);
+  if (database.phase == Phase::kSelect && this->epoch != 0 && this->hooks.leading()) {
+    this->Select(name, database);
   }
-  if (server != database.old_server) {
-    database.candidates[server] = probe;
-  } else if (!checking && probe.outcome == ProbeOutcome::kAnswered) {
-    // All grants have ended, so no more writes follow and this is the end of its log.
-    database.final_position =
-        std::max(database.final_position.value_or(LogPosition{}), probe.received);
+}
+
+std::vector<SuccessorCandidate> PrimaryAuthority::Candidates(const std::string& name,
+                                                             const Database& database) const {
+  std::vector<SuccessorCandidate> result;
+  for (const BackendServerRecord* server : this->ServersOf(name)) {
+    const bool eligible = server->state == BackendServerState::kReady &&
+                          database.failed_targets.count(server->id) == 0;
+    result.push_back(
+        SuccessorCandidate{server->id, eligible, this->CountMembersUnableToReach(server->id)});
   }
+  return result;
+}
+
+SuccessorRequirements PrimaryAuthority::Requirements(const std::string& name,
+                                                     const Database& database) const {
+  SuccessorRequirements result;
+  result.old_primary = database.old_server;
+  const auto replicas = this->synchronous_replicas.find(name);
+  result.synchronous_replicas = replicas == this->synchronous_replicas.end() ? 0 : replicas->second;
+  result.floor = database.floor.value_or(LogPosition{});
+  result.final_end = database.final_position;
+  result.final_end_complete = database.all_acknowledged;
+  result.planned = database.planned;
+  return result;
 }
 
 void PrimaryAuthority::Select(const std::string& name, Database& database) {
   const TimePoint now = this->clock.Now();
+  const std::optional<SuccessorChoice> choice = database.successors.Choose(
+      this->Requirements(name, database), this->Candidates(name, database), now);
+  if (choice) {
+    this->Choose(name, database, *choice);
+    return;
+  }
   const Duration elapsed = now - database.phase_started;
-  const BackendServerRecord* best = nullptr;
-  const BackendProbe* best_probe = nullptr;
-  bool complete = true;
-  for (const BackendServerRecord* server : this->ServersOf(name)) {
-    if (server->id == database.old_server || server->state != BackendServerState::kReady ||
-        database.failed_targets.count(server->id) != 0) {
-      continue;
-    }
-    const auto answer = database.candidates.find(server->id);
-    if (answer == database.candidates.end()) {
-      complete = false;
-      continue;
-    }
-    if (answer->second.outcome != ProbeOutcome::kAnswered) {
-      continue;
-    }
-    const bool better =
-        best == nullptr || best_probe->received < answer->second.received ||
-        (best_probe->received == answer->second.received &&
-         this->CountMembersUnableToReach(server->id) < this->CountMembersUnableToReach(best->id));
-    if (better) {
-      best = server;
-      best_probe = &answer->second;
-    }
+  if (database.planned && elapsed > kCatchUpLimit) {
+    this->GiveUpHandOver(name, database);
+    return;
   }
-  if (database.planned) {
-    const bool caught_up = best != nullptr && database.final_position &&
-                           best_probe->received >= *database.final_position;
-    if (caught_up) {
-      this->Choose(name, database, best->id, "whole_log");
-    } else if (elapsed > kCatchUpLimit) {
-      this->GiveUpHandOver(name, database);
-    } else if (now >= database.next_call) {
-      this->ProbeCandidates(name, database);
-      // Probes are repeated at a short interval, because no caller can write until a successor has
-      // all commits.
-      database.next_call = now + kProbeInterval / 3;
-    }
+  if (!database.planned && this->OldPrimaryLeads(database)) {
+    this->ResumeOldPrimary(name, database);
     return;
   }
-  // No commit that was confirmed to a caller is lost with a successor that has the newest known
-  // position.
-  const bool has_all = best != nullptr && database.final_position &&
-                       best_probe->received >= *database.final_position;
-  if (best != nullptr && (complete || has_all || elapsed > kSelectionLimit)) {
-    const std::string basis = has_all ? "whole_log" : complete ? "all_probed" : "time_limit";
-    this->Choose(name, database, best->id, basis);
-  } else if (now >= database.next_call) {
-    if (elapsed > kSelectionLimit) {
-      database.failed_targets.clear();
-    }
-    this->ProbeCandidates(name, database);
+  if (elapsed > SuccessorSelection::kAsynchronousLimit) {
+    database.failed_targets.clear();
   }
+  this->ProbeCandidates(name, database);
+}
+
+// True if the old primary, which had failed, answers again with its whole log, and no other server
+// leads.
+bool PrimaryAuthority::OldPrimaryLeads(const Database& database) const {
+  const BackendServerRecord* server = this->Find(database.old_server);
+  const std::optional<BackendProbe> answer = database.successors.FinalAnswer(database.old_server);
+  if (server == nullptr || server->state != BackendServerState::kReady || !answer) {
+    return false;
+  }
+  const LogPosition known_end = std::max(database.final_position.value_or(LogPosition{}),
+                                         database.floor.value_or(LogPosition{}));
+  return answer->role == Role::kPrimary && answer->term >= database.known_term &&
+         answer->received >= known_end && database.successors.Answer(database.old_server);
 }
 
 void PrimaryAuthority::Choose(const std::string& name, Database& database,
-                              const std::string& target, const std::string& basis) {
-  const BackendProbe& probe = database.candidates[target];
+                              const SuccessorChoice& choice) {
+  const BackendProbe probe = database.successors.Answer(choice.server).value_or(BackendProbe{});
   this->logger.Info(
       "primary_chosen",
       {{"database", name},
-       {"server", target},
-       {"basis", basis},
+       {"server", choice.server},
+       {"basis", std::string(ToString(choice.basis))},
        {"elapsed_ms", LogMilliseconds(this->clock.Now() - database.phase_started)},
-       {"servers", Describe(database.candidates)},
+       {"servers", database.successors.Describe()},
        {"position", probe.received.ToString()},
        {"final_position",
         database.final_position ? database.final_position->ToString() : "unknown"},
        {"newest_observed", database.newest ? database.newest->position.ToString() : "unknown"}});
-  database.target = target;
+  database.target = choice.server;
   database.claimed_term =
       probe.role == Role::kPrimary ? std::optional<std::uint64_t>(probe.term) : std::nullopt;
   this->Enter(name, database, Phase::kRecord);
@@ -252,10 +250,14 @@
 void PrimaryAuthority::GiveUpHandOver(const std::string& name, Database& database) {
   this->logger.Warning("hand_over_given_up",
                        {{"database", name}, {"server", database.record.server}});
+  this->ResumeOldPrimary(name, database);
+}
+
+// Members may have acknowledged the revocation of the generation, so the grants resume under a new
+// one.
+void PrimaryAuthority::ResumeOldPrimary(const std::string& name, Database& database) {
   database.hand_over_not_before = this->clock.Now() + kHandOverPause;
-  // Members may have acknowledged the revocation of the generation, so the grants resume under a
-  // new one.
-  database.target = database.record.server;
+  database.target = database.old_server;
   this->Enter(name, database, Phase::kRecord);
   this->StoreRecord(name, database);
 }
@@ -385,7 +387,7 @@
     case PromoteOutcome::kNotRunning:
       // After a hand-over that was given up, some members may still use this server.
       database.failed_targets.insert(database.target);
-      database.candidates.clear();
+      database.successors.Forget();
       database.planned = false;
       this->Enter(name, database, Phase::kRevoke);
       this->SendRevocations(name, database);
@@ -417,14 +419,16 @@
     return;
   }
   database.call_in_flight = true;
-  this->hooks.probe(*server, [this, name, step = database.step, sent = now,
-                              weak = std::weak_ptr<bool>(this->alive)](const BackendProbe& probe) {
-    Database* current = weak.expired() ? nullptr : this->DatabaseAtStep(name, step);
-    if (current != nullptr) {
-      current->call_in_flight = false;
-      this->OnConfirm(name, *current, probe, sent);
-    }
-  });
+  this->hooks.probe(*server, kStatusTimeout,
+                    [this, name, step = database.step, sent = now,
+                     weak = std::weak_ptr<bool>(this->alive)](const BackendProbe& probe) {
+                      Database* current =
+                          weak.expired() ? nullptr : this->DatabaseAtStep(name, step);
+                      if (current != nullptr) {
+                        current->call_in_flight = false;
+                        this->OnConfirm(name, *current, probe, sent);
+                      }
+                    });
 }
 
 void PrimaryAuthority::OnConfirm(const std::string& name, Database& database,
@@ -442,7 +446,8 @@
   }
   database.record.serving = true;
   database.record.term = probe.term;
-  database.newest = PositionObservation{probe.received, sent};
+  database.floor.reset();
+  database.ObserveNewest(PositionObservation{probe.received, sent});
   database.hand_over_not_before = this->clock.Now() + kHandOverPause;
   this->Enter(name, database, Phase::kServing);
   this->StoreServing(name, database);
--- a/src/leader/primary_watch.cc
+++ b/src/leader/primary_watch.cc
@@ -100,23 +100,21 @@
   if (!database.successor_search_started) {
     database.successor_search_started = now;
     database.min_successor_position = database.newest ? database.newest->position : LogPosition{};
-    database.candidates.clear();
     database.old_server = database.record.server;
-    ++database.replacement;
+    this->BeginSelection(name, database);
     this->ProbeCandidates(name, database);
     return;
   }
   const auto candidates = this->ServersOf(name);
   const bool ready = std::any_of(
       candidates.begin(), candidates.end(), [&database](const BackendServerRecord* server) {
-        const auto probe = database.candidates.find(server->id);
-        return server->state == BackendServerState::kReady && probe != database.candidates.end() &&
-               probe->second.outcome == ProbeOutcome::kAnswered &&
-               probe->second.received >= database.min_successor_position;
+        const std::optional<BackendProbe> answer = database.successors.Answer(server->id);
+        return server->state == BackendServerState::kReady && answer &&
+               answer->received >= database.min_successor_position;
       });
   if (ready) {
     this->Replace(name, database, true, reason);
-  } else if (now - *database.successor_search_started > kSelectionLimit) {
+  } else if (now - *database.successor_search_started > kCandidateLimit) {
     this->logger.Info("hand_over_postponed",
                       {{"database", name},
                        {"reason", reason},
@@ -131,43 +129,45 @@
   const TimePoint sent = this->clock.Now();
   database.last_probe = sent;
   database.unanswered_probes.push_back(sent);
-  this->hooks.probe(*primary, [this, name, step = database.step, sent,
-                               weak = std::weak_ptr<bool>(this->alive)](const BackendProbe& probe) {
-    Database* current = weak.expired() ? nullptr : this->DatabaseAtStep(name, step);
-    if (current == nullptr) {
-      return;
-    }
-    current->ObserveTerm(probe);
-    if (probe.outcome != ProbeOutcome::kNoAnswer) {
-      current->unanswered_probes.clear();
-    }
-    switch (probe.outcome) {
-      case ProbeOutcome::kAnswered:
-        if (probe.role != Role::kPrimary) {
-          this->Replace(name, *current, false, "the primary no longer leads");
+  this->hooks.probe(
+      *primary, kStatusTimeout,
+      [this, name, step = database.step, sent,
+       weak = std::weak_ptr<bool>(this->alive)](const BackendProbe& probe) {
+        Database* current = weak.expired() ? nullptr : this->DatabaseAtStep(name, step);
+        if (current == nullptr) {
           return;
         }
-        current->refusals = 0;
-        current->suspected = false;
-        current->last_answer = std::max(current->last_answer, sent);
-        // A smaller position means that the server restarted without its log.
-        if (!current->newest ||
-            (current->newest->as_of < sent && current->newest->position <= probe.received)) {
-          current->newest = PositionObservation{probe.received, sent};
+        current->ObserveTerm(probe);
+        if (probe.outcome != ProbeOutcome::kNoAnswer) {
+          current->unanswered_probes.clear();
         }
-        return;
-      case ProbeOutcome::kBusy:
-        current->refusals = 0;
-        current->suspected = false;
-        current->last_answer = std::max(current->last_answer, sent);
-        return;
-      case ProbeOutcome::kNotListening:
-        ++current->refusals;
-        return;
-      case ProbeOutcome::kNoAnswer:
-        return;
-    }
-  });
+        switch (probe.outcome) {
+          case ProbeOutcome::kAnswered:
+            if (probe.role != Role::kPrimary) {
+              this->Replace(name, *current, false, "the primary no longer leads");
+              return;
+            }
+            current->refusals = 0;
+            current->suspected = false;
+            current->last_answer = std::max(current->last_answer, sent);
+            // A smaller position means that the server restarted without its log.
+            if (!current->newest ||
+                (current->newest->as_of < sent && current->newest->position <= probe.received)) {
+              current->ObserveNewest(PositionObservation{probe.received, sent});
+            }
+            return;
+          case ProbeOutcome::kBusy:
+            current->refusals = 0;
+            current->suspected = false;
+            current->last_answer = std::max(current->last_answer, sent);
+            return;
+          case ProbeOutcome::kNotListening:
+            ++current->refusals;
+            return;
+          case ProbeOutcome::kNoAnswer:
+            return;
+        }
+      });
 }
 
 std::size_t PrimaryAuthority::CountMembersUnableToReach(const std::string& server) const {
--- /dev/null
+++ b/src/leader/successor_choice_test.cc
@@ -0,0 +1,592 @@
+// Plays failures of a database whose commits are confirmed once a number of replicas have received
+// them, and checks at each promotion that the new primary has every confirmed commit.
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "sycamoredrum/manual_clock.h"
+#include "sycamoredrum/primary_authority.h"
+
+namespace sycamoredrum {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr const char* kDatabase = "orders";
+constexpr const char* kMember = "relay";
+constexpr Duration kStep = milliseconds(10);
+constexpr Duration kTick = milliseconds(50);
+constexpr Duration kHeartbeat = milliseconds(100);
+constexpr Duration kPromotionTime = milliseconds(300);
+constexpr Duration kNever = std::chrono::hours(1);
+/// Shortest time in use within which requests must be served again after a failure.
+constexpr Duration kRecoveryLimit = seconds(12);
+
+/// A primary and its replicas, a leader, and one member that writes continuously.
+class SuccessorChoiceTest : public testing::Test {
+ protected:
+  struct Server {
+    BackendServerRecord record;
+    Role role = Role::kReplica;
+    std::uint64_t term = 1;
+    std::vector<std::uint64_t> log = {1};  ///< Term of each entry.
+    TimePoint down_until;                  ///< No process listens.
+    TimePoint silent_until;                ///< Answers nothing.
+    TimePoint busy_until;                  ///< Has no capacity for status requests.
+    TimePoint deaf_until;                  ///< A replica receives nothing.
+    bool silent_to_leader = false;
+    Duration answer_time = milliseconds(10);
+  };
+
+  SuccessorChoiceTest() { this->Start(3, 1); }
+
+  void Start(int servers, int synchronous_replicas) {
+    // Calls in progress end first.
+    this->authority.reset();
+    this->clock.Advance(seconds(5));
+    this->lines.clear();
+    this->servers.clear();
+    this->confirmed.clear();
+    this->grant.reset();
+    this->revoked_generation = 0;
+    this->member_cut_until = this->clock.Now();
+    this->member_silent_until = this->clock.Now();
+    this->observed.reset();
+    this->answered_at.reset();
+    this->synchronous_replicas = synchronous_replicas;
+    this->authority = std::make_unique<PrimaryAuthority>(this->MakeHooks(), seconds(3), this->clock,
+                                                         this->clock, this->logger);
+    for (int i = 0; i < servers; ++i) {
+      Server server;
+      server.record.id = this->Id(i);
+      server.record.database = kDatabase;
+      server.role = i == 0 ? Role::kPrimary : Role::kReplica;
+      this->servers[server.record.id] = server;
+      this->authority->PutServer(server.record);
+    }
+    this->authority->SetDatabases({{kDatabase, 20}});
+    this->authority->SetSynchronousReplicas({{kDatabase, synchronous_replicas}});
+    FleetState state;
+    state.members = {kMember};
+    state.era_observed_at = this->clock.Now();
+    this->epoch = 1;
+    this->authority->Begin(this->epoch, state);
+    this->Run(seconds(2));
+  }
+
+  static std::string Id(int number) { return "s" + std::to_string(number); }
+  Server& At(int number) { return this->servers.at(Id(number)); }
+
+  static LogPosition End(const Server& server) {
+    return LogPosition{server.log.back(), server.log.size()};
+  }
+
+  bool Running(const Server& server) const { return this->clock.Now() >= server.down_until; }
+  bool Answers(const Server& server) const {
+    return this->Running(server) && this->clock.Now() >= server.silent_until;
+  }
+
+  PrimaryAuthorityHooks MakeHooks() {
+    PrimaryAuthorityHooks hooks;
+    hooks.revoke = [this](const std::string&, std::uint64_t, const std::string&,
+                          std::uint64_t generation, bool, const RevocationCallback& done) {
+      this->clock.RunAfter(milliseconds(5), [this, generation, done] {
+        if (this->clock.Now() < this->member_silent_until ||
+            this->clock.Now() < this->member_cut_until) {
+          return;
+        }
+        const std::optional<LogPosition> newest =
+            this->observed ? std::optional(this->observed->position) : std::nullopt;
+        this->revoked_generation = std::max(this->revoked_generation, generation);
+        if (this->grant && this->grant->generation <= generation) {
+          this->grant.reset();
+        }
+        done(true, newest);
+      });
+    };
+    hooks.probe = [this](const BackendServerRecord& record, Duration timeout,
+                         const std::function<void(const BackendProbe&)>& done) {
+      const Server& server = this->servers.at(record.id);
+      const bool answers =
+          !server.silent_to_leader && (this->Answers(server) || !this->Running(server));
+      const Duration delay = answers ? std::min(server.answer_time, timeout) : timeout;
+      this->clock.RunAfter(delay, [this, id = record.id, done, answers] {
+        const Server& present = this->servers.at(id);
+        BackendProbe probe;
+        if (!this->Running(present)) {
+          probe.outcome = ProbeOutcome::kNotListening;
+        } else if (answers && this->Answers(present)) {
+          probe.outcome = this->clock.Now() < present.busy_until ? ProbeOutcome::kBusy
+                                                                 : ProbeOutcome::kAnswered;
+        }
+        if (probe.outcome == ProbeOutcome::kAnswered) {
+          probe.role = present.role;
+          probe.term = present.term;
+          probe.received = End(present);
+        }
+        done(probe);
+      });
+    };
+    hooks.store_record = [this](const std::string&, const PrimaryRecord&, std::uint64_t,
+                                const std::function<void(PlatformStatus, std::uint64_t)>& done) {
+      done(PlatformStatus::kOk, ++this->revision);
+    };
+    hooks.promote = [this](const std::string&, const std::string& server, std::uint64_t,
+                           const std::function<void(PromoteOutcome)>& done) {
+      const bool refused = this->clock.Now() < this->promotion_refused_until && server == "s1";
+      if (refused || !this->Running(this->servers.at(server))) {
+        done(PromoteOutcome::kNotRunning);
+        return;
+      }
+      this->clock.RunAfter(kPromotionTime, [this, server] { this->Promote(server); });
+      done(PromoteOutcome::kAccepted);
+    };
+    hooks.demote = [this](const BackendServerRecord& record, std::uint64_t term) {
+      Server& server = this->servers.at(record.id);
+      if (this->Answers(server) && server.term < term) {
+        server.role = Role::kReplica;
+      }
+    };
+    hooks.nudge = [] {};
+    hooks.leading = [] { return true; };
+    hooks.isolated = [] {};
+    return hooks;
+  }
+
+  // Replicas that were ahead are rolled back.
+  void Promote(const std::string& id) {
+    Server& successor = this->servers.at(id);
+    std::uint64_t latest = 0;
+    for (const auto& [name, server] : this->servers) {
+      latest = std::max(latest, server.term);
+    }
+    if (!this->Running(successor) ||
+        (successor.role == Role::kPrimary && successor.term == latest)) {
+      return;
+    }
+    this->promoted.push_back(id);
+    this->promoted_at = this->clock.Now();
+    for (const LogPosition& position : this->confirmed) {
+      const bool present = position.index <= successor.log.size() &&
+                           successor.log[position.index - 1] == position.term;
+      this->lost += present ? 0 : 1;
+    }
+    successor.role = Role::kPrimary;
+    successor.term = latest + 1;
+    for (auto& [name, server] : this->servers) {
+      if (name != id) {
+        server.role = this->Running(server) ? server.role : Role::kReplica;
+        server.log.resize(std::min(server.log.size(), successor.log.size()));
+      }
+    }
+  }
+
+  // Appends an entry at the granted primary. It is confirmed once enough replicas have received it.
+  void Write() {
+    if (!this->grant || this->clock.Now() >= this->grant_until ||
+        this->clock.Now() < this->member_silent_until) {
+      return;
+    }
+    Server& primary = this->servers.at(this->grant->server);
+    if (!this->Answers(primary) || primary.role != Role::kPrimary) {
+      return;
+    }
+    primary.log.push_back(primary.term);
+    int received = 0;
+    for (auto& [name, server] : this->servers) {
+      const bool receives = server.role == Role::kReplica && this->Running(server) &&
+                            this->clock.Now() >= server.deaf_until;
+      if (receives) {
+        server.log = primary.log;
+        server.term = primary.term;
+        ++received;
+      }
+    }
+    if (received >= this->synchronous_replicas) {
+      this->confirmed.push_back(End(primary));
+      this->observed = PositionObservation{End(primary), this->clock.Now()};
+      this->answered_at = this->clock.Now();
+    }
+  }
+
+  void Heartbeat() {
+    if (this->clock.Now() < this->member_silent_until ||
+        this->clock.Now() < this->member_cut_until) {
+      return;
+    }
+    MemberReport report;
+    report.member = kMember;
+    report.registration = 1;
+    report.registered = true;
+    report.epoch = this->epoch;
+    DatabaseReport& database = report.databases[kDatabase];
+    database.revoked_generation = this->revoked_generation;
+    if (this->grant) {
+      database.generation = this->grant->generation;
+      database.newest = this->observed;
+      database.answered_at = this->answered_at;
+    }
+    const GrantSet grants = this->authority->OnReport(report);
+    const auto found = grants.primaries.find(kDatabase);
+    if (found != grants.primaries.end() && found->second.generation > this->revoked_generation) {
+      if (!this->grant || this->grant->generation != found->second.generation) {
+        this->observed.reset();
+      }
+      this->grant = found->second;
+      this->grant_until = this->clock.Now() + PrimaryAuthority::kGrantValidity;
+    }
+  }
+
+  void Run(Duration time) {
+    const TimePoint end = this->clock.Now() + time;
+    while (this->clock.Now() < end) {
+      this->clock.Advance(kStep);
+      const auto passed = this->clock.Now().time_since_epoch();
+      if (this->writing && passed % (2 * kStep) == Duration::zero()) {
+        this->Write();
+      }
+      if (passed % kTick == Duration::zero()) {
+        this->authority->Tick();
+      }
+      if (passed % kHeartbeat == Duration::zero()) {
+        this->Heartbeat();
+      }
+    }
+  }
+
+  /// Runs until a server is promoted, and returns how long it took; kNever without a promotion.
+  Duration RunUntilPromoted(Duration limit) {
+    const TimePoint start = this->clock.Now();
+    const std::size_t before = this->promoted.size();
+    while (this->promoted.size() == before && this->clock.Now() < start + limit) {
+      this->Run(kStep);
+    }
+    return this->promoted.size() == before ? kNever : this->clock.Now() - start;
+  }
+
+  /// Lets replica 2 lack the last commits, which replica 1 has, and crashes the primary.
+  void CrashWhileOneReplicaLags() {
+    this->At(2).deaf_until = this->clock.Now() + kNever;
+    this->Run(seconds(1));
+    ASSERT_LT(End(this->At(2)), End(this->At(1)));
+    this->At(0).down_until = this->clock.Now() + kNever;
+  }
+
+  bool Logged(const std::string& text) const {
+    return std::any_of(this->lines.begin(), this->lines.end(), [&](const std::string& line) {
+      return line.find(text) != std::string::npos;
+    });
+  }
+
+  void FailRandomly(Server& server, std::mt19937_64& random) {
+    const TimePoint until = this->clock.Now() + milliseconds(100 + random() % 2400);
+    switch (random() % 6) {
+      case 0:
+        server.down_until = until;
+        break;
+      case 1:
+        server.silent_until = until;
+        break;
+      case 2:
+        server.busy_until = until;
+        break;
+      case 3:
+        server.deaf_until = until;
+        break;
+      case 4:
+        server.answer_time = milliseconds(5 + random() % 900);
+        break;
+      case 5:
+        server.answer_time = milliseconds(10);
+        break;
+      default:
+        break;
+    }
+  }
+
+  ManualClock clock;
+  Logger logger{LogLevel::kInfo, LogFormat::kText, this->clock,
+                [this](const std::string& line) { this->lines.push_back(line); }};
+  std::vector<std::string> lines;
+  std::map<std::string, Server> servers;
+  int synchronous_replicas = 0;
+  std::vector<LogPosition> confirmed;
+  std::vector<std::string> promoted;
+  TimePoint promoted_at;
+  int lost = 0;  ///< Confirmed commits that a promoted server lacked.
+  bool writing = true;
+  std::optional<PrimaryRecord> grant;  ///< Of the member.
+  TimePoint grant_until;
+  std::uint64_t revoked_generation = 0;
+  TimePoint member_silent_until;      ///< Neither writes nor answers.
+  TimePoint member_cut_until;         ///< Cannot reach the leader.
+  TimePoint promotion_refused_until;  ///< For s1.
+  std::optional<PositionObservation> observed;
+  std::optional<TimePoint> answered_at;
+  std::uint64_t epoch = 1;
+  std::uint64_t revision = 1;
+  std::unique_ptr<PrimaryAuthority> authority;
+};
+
+// Guards against lost confirmed commits: the only replica that has them is busy, and the other one,
+// which answers, was promoted.
+TEST_F(SuccessorChoiceTest, ReplicaWithTheConfirmedCommitsIsPromotedAfterItWasBusy) {
+  this->CrashWhileOneReplicaLags();
+  this->At(1).busy_until = this->clock.Now() + seconds(3);
+  EXPECT_LE(this->RunUntilPromoted(seconds(20)), seconds(4));
+  EXPECT_EQ(this->promoted, std::vector<std::string>{"s1"});
+  EXPECT_EQ(this->lost, 0);
+}
+
+// Guards against lost confirmed commits: the replica that has them answers later than the others.
+TEST_F(SuccessorChoiceTest, ReplicaWithTheConfirmedCommitsIsPromotedAfterALateAnswer) {
+  this->CrashWhileOneReplicaLags();
+  this->At(1).answer_time = milliseconds(1200);
+  EXPECT_LE(this->RunUntilPromoted(seconds(20)), seconds(4));
+  EXPECT_EQ(this->promoted, std::vector<std::string>{"s1"});
+  EXPECT_EQ(this->lost, 0);
+}
+
+// Guards against lost confirmed commits: the replica that has them restarts, or does not answer for
+// a while.
+TEST_F(SuccessorChoiceTest, ReplicaWithTheConfirmedCommitsIsPromotedOnceItIsBack) {
+  for (const bool restarts : {true, false}) {
+    this->Start(3, 1);
+    this->promoted.clear();
+    this->CrashWhileOneReplicaLags();
+    (restarts ? this->At(1).down_until : this->At(1).silent_until) =
+        this->clock.Now() + milliseconds(2500);
+    EXPECT_LE(this->RunUntilPromoted(seconds(20)), seconds(5)) << restarts;
+    EXPECT_EQ(this->promoted, std::vector<std::string>{"s1"}) << restarts;
+  }
+  EXPECT_EQ(this->lost, 0);
+}
+// Guards against lost confirmed commits: the answer of the replica that has them was forgotten when
+// the server was busy at the next probe.
+TEST_F(SuccessorChoiceTest, AnswerIsKeptWhenTheReplicaIsBusyLater) {
+  for (const int synchronous : {1, 0}) {
+    this->Start(3, synchronous);
+    this->promoted.clear();
+    this->CrashWhileOneReplicaLags();
+    this->member_silent_until = this->clock.Now() + kNever;  // Its commits are not known.
+    this->At(2).answer_time = milliseconds(250);
+    while (!this->Logged("phase=select")) {
+      this->Run(kStep);
+    }
+    this->Run(milliseconds(20));
+    this->At(1).busy_until = this->clock.Now() + seconds(1);
+    this->RunUntilPromoted(seconds(20));
+    EXPECT_EQ(this->promoted, std::vector<std::string>{"s1"}) << synchronous;
+  }
+  EXPECT_EQ(this->lost, 0);
+}
+
+// Guards against lost confirmed commits: the answers of two equal replicas are older than the last
+// commits, which only one of them received. The member goes on writing until its grant ends.
+TEST_F(SuccessorChoiceTest, AnswersFromBeforeTheEndOfTheGrantsAreAskedForAgain) {
+  for (const int synchronous : {1, 0}) {
+    this->Start(3, synchronous);
+    this->promoted.clear();
+    this->At(0).silent_to_leader = true;
+    this->member_cut_until = this->clock.Now() + seconds(10);
+    while (!this->Logged("event=primary_replacement")) {
+      this->Run(kStep);
+    }
+    this->Run(milliseconds(20));
+    this->At(1).deaf_until = this->clock.Now() + kNever;
+    this->RunUntilPromoted(seconds(20));
+    EXPECT_EQ(this->promoted, std::vector<std::string>{"s2"}) << synchronous;
+  }
+  EXPECT_EQ(this->lost, 0);
+}
+
+// Guards against lost confirmed commits: a server that was promoted instead of the best one, which
+// crashed between its choice and its promotion.
+TEST_F(SuccessorChoiceTest, NoOtherServerIsPromotedWhileTheChosenOneRestarts) {
+  this->CrashWhileOneReplicaLags();
+  while (!this->Logged("event=primary_replacement")) {
+    this->Run(kStep);
+  }
+  this->promotion_refused_until = this->clock.Now() + seconds(2);
+  this->RunUntilPromoted(seconds(20));
+  EXPECT_EQ(this->promoted, std::vector<std::string>{"s1"});
+  EXPECT_EQ(this->lost, 0);
+}
+
+// As above, after the leader that chose the server was lost as well.
+TEST_F(SuccessorChoiceTest, NoOtherServerIsPromotedByTheNextLeaderWhileTheChosenOneRestarts) {
+  this->CrashWhileOneReplicaLags();
+  this->authority->End();
+  this->At(1).down_until = this->clock.Now() + seconds(6);
+  FleetState state;
+  state.members = {kMember};
+  state.records[kDatabase] = PrimaryRecord{"s1", this->grant->generation + 1, false, 1, 0, true};
+  state.revisions[kDatabase] = this->revision;
+  this->authority->Begin(++this->epoch, state);
+  this->RunUntilPromoted(seconds(20));
+  EXPECT_EQ(this->promoted, std::vector<std::string>{"s1"});
+  EXPECT_EQ(this->lost, 0);
+}
+
+// The chosen server does not run, and the old primary is back instead.
+TEST_F(SuccessorChoiceTest, OldPrimaryIsUsedAgainWhenTheChosenServerHasCrashed) {
+  this->CrashWhileOneReplicaLags();
+  this->promotion_refused_until = this->clock.Now() + kNever;
+  while (!this->Logged("event=primary_chosen")) {
+    this->Run(kStep);
+  }
+  this->At(1).down_until = this->clock.Now() + kNever;
+  this->At(0).down_until = this->clock.Now() + seconds(1);
+  this->Run(seconds(4));
+  EXPECT_TRUE(this->promoted.empty());
+  EXPECT_TRUE(this->grant && this->grant->server == "s0" && this->grant->generation > 1);
+}
+
+// Guards against lost confirmed commits after the loss of a replica: the only one that is left has
+// never received them.
+TEST_F(SuccessorChoiceTest, CommitsFromBeforeTheLossOfAReplicaAreWaitedFor) {
+  this->At(2).deaf_until = this->clock.Now() + kNever;
+  this->Run(seconds(1));
+  this->At(1).down_until = this->clock.Now() + kNever;
+  this->writing = false;
+  this->authority->RemoveServer("s1");
+  this->Run(seconds(1));
+  this->At(0).down_until = this->clock.Now() + seconds(4);
+  this->Run(seconds(6));
+  EXPECT_TRUE(this->promoted.empty());
+  EXPECT_TRUE(this->grant && this->grant->server == "s0");
+  EXPECT_EQ(this->lost, 0);
+}
+
+// Guards against lost confirmed commits: the record of the replica that has them expires while it
+// is silent, and the other one was taken for all that is left.
+TEST_F(SuccessorChoiceTest, ReplicaWhoseRecordExpiresDuringTheReplacementIsWaitedFor) {
+  this->CrashWhileOneReplicaLags();
+  this->At(1).silent_until = this->clock.Now() + seconds(8);
+  this->Run(seconds(5));
+  this->authority->RemoveServer("s1");
+  this->Run(seconds(3));
+  EXPECT_TRUE(this->promoted.empty());
+  this->authority->PutServer(this->At(1).record);
+  this->RunUntilPromoted(seconds(20));
+  EXPECT_EQ(this->promoted, std::vector<std::string>{"s1"});
+  EXPECT_EQ(this->lost, 0);
+}
+
+TEST_F(SuccessorChoiceTest, OldPrimaryThatIsBackWithItsLogIsUsedAgain) {
+  this->CrashWhileOneReplicaLags();
+  this->At(1).busy_until = this->clock.Now() + kNever;
+  this->At(0).down_until = this->clock.Now() + seconds(2);
+  this->Run(seconds(4));
+  EXPECT_TRUE(this->promoted.empty());
+  EXPECT_TRUE(this->grant && this->grant->server == "s0" && this->grant->generation > 1);
+}
+
+// Guards against a database without a primary for longer than needed: the replica that answers is
+// known to have all confirmed commits, so that the other one is not waited for.
+TEST_F(SuccessorChoiceTest, ReplicaWithTheWholeLogIsPromotedAtOnce) {
+  for (const int synchronous : {0, 1}) {
+    this->Start(3, synchronous);
+    this->At(2).silent_until = this->clock.Now() + kNever;
+    this->Run(seconds(1));
+    this->At(0).down_until = this->clock.Now() + kNever;
+    EXPECT_LE(this->RunUntilPromoted(seconds(20)), milliseconds(1200)) << synchronous;
+  }
+  EXPECT_EQ(this->lost, 0);
+}
+
+// Guards against a database that has no primary for good, since a server never answers again.
+TEST_F(SuccessorChoiceTest, ServerThatNeverAnswersAgainIsNotWaitedForBeyondTheRecoveryLimit) {
+  for (const std::string failure : {"down", "silent", "busy"}) {
+    this->Start(3, 1);
+    this->promoted.clear();
+    this->CrashWhileOneReplicaLags();
+    Server& replica = this->At(1);
+    (failure == "down"     ? replica.down_until
+     : failure == "silent" ? replica.silent_until
+                           : replica.busy_until) = this->clock.Now() + kNever;
+    EXPECT_LE(this->RunUntilPromoted(seconds(30)), kRecoveryLimit) << failure;
+    EXPECT_EQ(this->promoted, std::vector<std::string>{"s2"}) << failure;
+  }
+}
+
+// Without synchronous replicas every choice may lose commits, and the wait for a better one is
+// short.
+TEST_F(SuccessorChoiceTest, WithoutSynchronousReplicasABusyServerIsWaitedForBriefly) {
+  for (const bool for_long : {false, true}) {
+    this->Start(3, 0);
+    this->promoted.clear();
+    this->CrashWhileOneReplicaLags();
+    while (!this->Logged("event=primary_replacement")) {
+      this->Run(kStep);
+    }
+    this->At(1).busy_until =
+        this->clock.Now() + (for_long ? seconds(30) : Duration(milliseconds(200)));
+    EXPECT_LE(this->RunUntilPromoted(seconds(20)),
+              SuccessorSelection::kAsynchronousLimit + kPromotionTime + 3 * kTick)
+        << for_long;
+    EXPECT_EQ(this->promoted, std::vector<std::string>{for_long ? "s2" : "s1"});
+  }
+}
+
+// With two of three replicas in each commit, one silent replica can be the only one that lacks it.
+TEST_F(SuccessorChoiceTest, OneSilentReplicaIsNotWaitedForWithTwoSynchronousReplicas) {
+  this->Start(4, 2);
+  this->At(3).deaf_until = this->clock.Now() + kNever;
+  this->Run(seconds(1));
+  this->member_silent_until = this->clock.Now() + kNever;  // Its commits are not known.
+  this->At(2).silent_until = this->clock.Now() + kNever;
+  this->At(0).down_until = this->clock.Now() + kNever;
+  EXPECT_LE(this->RunUntilPromoted(seconds(20)),
+            PrimaryAuthority::kGrantValidity + milliseconds(1500));
+  EXPECT_EQ(this->promoted, std::vector<std::string>{"s1"});
+  EXPECT_EQ(this->lost, 0);
+}
+
+// Overlapping random failures, of which none lasts longer than servers are waited for. No confirmed
+// commit may be lost, and the database must have a primary after the end of all failures.
+TEST_F(SuccessorChoiceTest, NoConfirmedCommitIsLostInRandomFailures) {
+  std::uint64_t first = 1;
+  std::uint64_t last = 200;
+  if (const char* one = std::getenv("SYCAMOREDRUM_SEED")) {
+    first = last = std::stoull(one);
+  } else if (const char* count = std::getenv("SYCAMOREDRUM_SEEDS")) {
+    last = std::stoull(count);
+  }
+  std::size_t promotions = 0;
+  for (std::uint64_t seed = first; seed <= last; ++seed) {
+    std::mt19937_64 random(seed);
+    const int size = 3 + static_cast<int>(random() % 2);
+    this->Start(size, size == 4 ? 1 + static_cast<int>(random() % 2) : 1);
+    this->promoted.clear();
+    this->lost = 0;
+    for (int step = 0; step < 40; ++step) {
+      this->Run(milliseconds(100 + random() % 900));
+      this->FailRandomly(this->At(static_cast<int>(random() % static_cast<unsigned>(size))),
+                         random);
+    }
+    promotions += this->promoted.size();
+    this->Run(seconds(6));
+    EXPECT_EQ(this->lost, 0);
+    EXPECT_TRUE(this->grant && this->Answers(this->servers.at(this->grant->server)));
+    if (testing::Test::HasFailure()) {
+      for (const std::string& line : this->lines) {
+        std::puts(line.c_str());
+      }
+      FAIL() << "seed " << seed;
+    }
+  }
+  EXPECT_TRUE(first == last || promotions > last) << promotions;
+}
+
+}  // namespace
+}  // namespace sycamoredrum
--- a/src/relay_daemon/fleet_leader.cc
+++ b/src/relay_daemon/fleet_leader.cc
@@ -88,23 +88,27 @@
           done(acknowledged, answer ? answer->newest : std::nullopt);
         });
   };
-  result.probe = [this](const BackendServerRecord& server,
+  result.probe = [this](const BackendServerRecord& server, Duration timeout,
                         const std::function<void(const BackendProbe&)>& done) {
-    this->platform.probe(server, [this, weak = std::weak_ptr<bool>(this->alive), id = server.id,
-                                  done](const BackendProbe& probe) {
-      if (weak.expired()) {
-        return;
-      }
-      static constexpr const char* kOutcomes[] = {"answered", "busy", "not_listening", "no_answer"};
-      const std::string outcome = kOutcomes[static_cast<int>(probe.outcome)];
-      this->metrics.Increment(Metric::kProbes, {outcome});
-      this->logger.Info("probe", {{"server", id},
-                                  {"outcome", outcome},
-                                  {"role", probe.role == Role::kPrimary ? "primary" : "replica"},
-                                  {"term", absl::StrCat(probe.term)},
-                                  {"position", probe.received.ToString()}});
-      done(probe);
-    });
+    this->platform.probe(server, timeout,
+                         [this, weak = std::weak_ptr<bool>(this->alive), id = server.id,
+                          done](const BackendProbe& probe) {
+                           if (weak.expired()) {
+                             return;
+                           }
+                           static constexpr const char* kOutcomes[] = {
+                               "answered", "busy", "not_listening", "no_answer"};
+                           const std::string outcome = kOutcomes[static_cast<int>(probe.outcome)];
+                           this->metrics.Increment(Metric::kProbes, {outcome});
+                           this->logger.Info(
+                               "probe",
+                               {{"server", id},
+                                {"outcome", outcome},
+                                {"role", probe.role == Role::kPrimary ? "primary" : "replica"},
+                                {"term", absl::StrCat(probe.term)},
+                                {"position", probe.received.ToString()}});
+                           done(probe);
+                         });
   };
   result.store_record = [this](const std::string& database, const PrimaryRecord& record,
                                std::uint64_t revision,
--- a/src/relay_daemon/simulated_fleet_test.h
+++ b/src/relay_daemon/simulated_fleet_test.h
@@ -237,7 +237,7 @@
       answered_at(fleet.clock.Now()),
       answer_received(fleet.clock.Now()) {
   this->platform.store = fleet.store.Hooks(number);
-  this->platform.probe = [&fleet](const BackendServerRecord& server,
+  this->platform.probe = [&fleet](const BackendServerRecord& server, Duration,
                                   const std::function<void(const BackendProbe&)>& done) {
     fleet.database.Probe(server, done);
   };
