Report the greatest position that a member has confirmed when a grant ends

The leader promotes a server at once if it has the newest position that any member reports with the end of its grant.

A window now keeps the greatest position of its generation beside the timed observations, and a member reports that of the revoked generations.

With the late observation dropped as before, FreshnessWindowTest.LastPosition- IncludesAnswersThatArriveLate fails (1/50 instead of 1/51); it passes now, like SessionRelayTest.LastPositionIsKnownAfterTheEndOfTheGrant and the other cases of relay_test.

--- a/src/include/sycamoredrum/freshness_window.h
+++ b/src/include/sycamoredrum/freshness_window.h
@@ -42,11 +42,16 @@
   std::optional<LogPosition> OldestSince(TimePoint not_before) const;
 
   std::optional<PositionObservation> Newest() const;
+  /// Greatest position that was observed in the present generation, also by an answer that arrived
+  /// after the answers of later statements. All commits that this process confirmed in the
+  /// generation are at or before it.
+  std::optional<LogPosition> Last() const { return this->last; }
   std::uint64_t Generation() const { return this->generation; }
 
  private:
   std::uint64_t generation = 0;
   std::deque<PositionObservation> observations;  ///< In ascending order of `as_of`.
+  std::optional<LogPosition> last;
 };
 
 }  // namespace sycamoredrum
--- a/src/include/sycamoredrum/session_relay.h
+++ b/src/include/sycamoredrum/session_relay.h
@@ -181,6 +181,12 @@
   std::optional<PositionObservation> NewestPosition(const std::string& database,
                                                     std::uint64_t generation) const;
 
+  /// Greatest known log position of the primary in `generation` or the latest one before it, or
+  /// nothing if none is known. All commits that this process confirmed in that generation are at or
+  /// before it.
+  std::optional<LogPosition> LastPosition(const std::string& database,
+                                          std::uint64_t generation) const;
+
   /// Opens a session. It is refused with kUnknownDatabase if the configuration has no such route,
   /// and with kUnauthenticated if the route requires a key and the caller's is not known.
   OpenedSession Open(const SessionRequest& request, CallerSessionHooks hooks);
--- a/src/relay/freshness_window.cc
+++ b/src/relay/freshness_window.cc
@@ -8,6 +8,7 @@
   if (new_generation > this->generation) {
     this->generation = new_generation;
     this->observations.clear();
+    this->last.reset();
   }
 }
 
@@ -17,6 +18,7 @@
   if (observed_generation < this->generation) {
     return;
   }
+  this->last = std::max(this->last.value_or(LogPosition{}), observation.position);
   std::deque<PositionObservation>& list = this->observations;
   if (!list.empty() && observation.as_of <= list.back().as_of) {
     return;
--- a/src/relay/relay_parts_test.cc
+++ b/src/relay/relay_parts_test.cc
@@ -35,6 +35,20 @@
   EXPECT_FALSE(window.Newest());
 }
 
+// Guards against lost commits after a promotion: the answer to a commit arrived after that to a
+// later statement, and its position was not reported with the end of the grant.
+TEST(FreshnessWindowTest, LastPositionIncludesAnswersThatArriveLate) {
+  FreshnessWindow window;
+  EXPECT_FALSE(window.Last());
+  window.Observe(1, {LogPosition{1, 50}, At(100)});
+  window.Observe(1, {LogPosition{1, 51}, At(40)});
+  EXPECT_EQ(window.Last(), (LogPosition{1, 51}));
+  window.Observe(1, {LogPosition{1, 49}, At(120)});
+  EXPECT_EQ(window.Last(), (LogPosition{1, 51}));
+  window.StartGeneration(2);
+  EXPECT_FALSE(window.Last());
+}
+
 TEST(FreshnessWindowTest, FrequentObservationsAreMerged) {
   FreshnessWindow window;
   for (int i = 0; i < 1000; ++i) {
--- a/src/relay/session_relay.cc
+++ b/src/relay/session_relay.cc
@@ -492,6 +492,14 @@
   return found->second.window.Newest();
 }
 
+std::optional<LogPosition> SessionRelay::LastPosition(const std::string& database,
+                                                      std::uint64_t generation) const {
+  const auto found = this->impl->databases.find(database);
+  const bool known =
+      found != this->impl->databases.end() && found->second.window.Generation() <= generation;
+  return known ? found->second.window.Last() : std::nullopt;
+}
+
 OpenedSession SessionRelay::Open(const SessionRequest& request, CallerSessionHooks hooks) {
   OpenedSession opened;
   if (this->impl->configuration->routes.count(request.route) == 0) {
--- a/src/relay/session_relay_test.cc
+++ b/src/relay/session_relay_test.cc
@@ -11,6 +11,17 @@
 
 // Guards against using the position of a primary that restarted without its log. Such a server
 // sends its small position on a new connection, although larger positions were acknowledged before.
+// Guards against lost commits after a promotion: a repeated request to end the grant, whose first
+// answer was lost, was answered without a position.
+TEST_F(SessionRelayTest, LastPositionIsKnownAfterTheEndOfTheGrant) {
+  this->relay->ObservePosition("orders", 1, {LogPosition{1, 30}, this->clock.Now()});
+  this->grants.Revoke(1, "orders", 1);
+  this->grants.FinishRevocation("orders");
+  EXPECT_EQ(this->relay->LastPosition("orders", 1), (LogPosition{1, 30}));
+  EXPECT_EQ(this->relay->LastPosition("orders", 3), (LogPosition{1, 30}));
+  EXPECT_FALSE(this->relay->LastPosition("orders", 0));
+}
+
 TEST_F(SessionRelayTest, APositionOfALostLogIsIgnored) {
   TestCaller& writer = this->Open("place");
   for (int i = 0; i < 5; ++i) {
--- a/src/relay_daemon/fleet_member.cc
+++ b/src/relay_daemon/fleet_member.cc
@@ -495,11 +495,7 @@
   }
   RevocationAnswer answer;
   answer.acknowledged = true;
-  const std::optional<PositionObservation> newest =
-      this->relay.NewestPosition(message.database, this->grants.HeldGeneration(message.database));
-  if (newest) {
-    answer.newest = newest->position;
-  }
+  answer.newest = this->relay.LastPosition(message.database, message.generation);
   this->grants.FinishRevocation(message.database);
   done(answer);
 }
--- a/src/relay_daemon/fleet_messages.h
+++ b/src/relay_daemon/fleet_messages.h
@@ -129,7 +129,7 @@
 std::string ToJson(const RevocationMessage& message);
 std::optional<RevocationMessage> ParseRevocation(const std::string& json);
 
-/// `newest` is the latest log position that the member knows in the revoked generation.
+/// `newest` is the greatest log position that the member knows in the revoked generations.
 struct RevocationAnswer {
   bool acknowledged = false;
   std::optional<LogPosition> newest;
