Do not rely on positions that a lost process cannot report

The newest position that the members report with the end of their grants was taken for the end of all confirmed commits. A process that was lost with the primary reports nothing: its grant expires, or its next start acknowledges without knowing the commits. A replica without them, but with the newest reported position, was promoted at once.

The leader now notes until when such a process may have confirmed commits: the end of an expired grant, the return of grants, or the first report or reply of another process of the member (answers to revocations carry the registration). The reported positions count as complete only if the primary has been observed since. Otherwise the replicas decide, as after any other missing answer.

SuccessorChoiceTest.CommitsThatALostProcessConfirmedAreWaitedFor: without the comparison with the last observation it loses commits with the restart and with the expired grant; with it, none. Not covered by a case of its own: a process that starts and replies before its first heartbeat.

--- a/src/include/sycamoredrum/grant_holders.h
+++ b/src/include/sycamoredrum/grant_holders.h
@@ -35,8 +35,12 @@
   TimePoint End(const std::string& member) const;
   /// Members with grants that end after `time`.
   std::set<std::string> HoldersAt(TimePoint time) const;
-  /// Forgets the members whose grants have ended by `now`.
-  void ForgetExpired(TimePoint now);
+  /// Revision of the registration under which `member` has received grants; 0 if it holds none of
+  /// this process.
+  std::uint64_t Registration(const std::string& member) const;
+  /// Forgets the members whose grants have ended by `now`. Returns when the last of these ended, or
+  /// the earliest time.
+  TimePoint ForgetExpired(TimePoint now);
 
  private:
   struct Holder {
--- a/src/include/sycamoredrum/primary_authority.h
+++ b/src/include/sycamoredrum/primary_authority.h
@@ -103,10 +103,16 @@
   kUnknown,     ///< No answer; the promotion may have happened.
 };
 
-/// Answer of a member to a revocation. If `acknowledged`, `newest` is the newest log position that
-/// the member knows; all commits that it has confirmed to callers are at or before it.
-using RevocationCallback =
-    std::function<void(bool acknowledged, const std::optional<LogPosition>& newest)>;
+/// Answer of a member to a revocation.
+struct RevocationReply {
+  bool acknowledged = false;
+  /// Newest log position that the member's process knows; all commits that it has confirmed to
+  /// callers are at or before it.
+  std::optional<LogPosition> newest;
+  std::uint64_t registration = 0;  ///< See MemberReport::registration.
+};
+
+using RevocationCallback = std::function<void(const RevocationReply&)>;
 
 struct PrimaryAuthorityHooks {
   /// Sends a member the revocation of a grant. If the change is planned, statements in progress may
@@ -259,6 +265,7 @@
   /// any more.
   void OnGrantsGivenBack(const std::string& member, std::uint64_t registration) {
     this->holders.GaveBack(member, registration);
+    this->CommitsUnreported(this->clock.Now());
   }
 
   /// Detects failures and continues replacements; to be called about every 50 ms.
@@ -278,6 +285,7 @@
   struct Member {
     TimePoint last_heartbeat;
     bool heartbeat_received = false;
+    std::uint64_t registration = 0;  ///< Latest in a report; 0 if there was none.
     MemberReport report;
   };
 
@@ -317,8 +325,8 @@
     std::size_t discovery_probes_in_flight = 0;
     SuccessorSelection successors;
     std::optional<LogPosition> final_position;  ///< Newest position in a member's acknowledgement.
-    /// Every member that held a grant has reported its newest position; none has expired instead.
-    bool all_acknowledged = false;
+    /// Newest position when the replacement began.
+    std::optional<PositionObservation> last_observation;
     /// The primary's log is known to contain this position, and a successor must have it; see
     /// SuccessorRequirements::floor.
     std::optional<LogPosition> floor;
@@ -365,9 +373,10 @@
   void Replace(const std::string& name, Database& database, bool planned,
                const std::string& reason);
   void AwaitAllHolders(Database& database) const;
+  void CommitsUnreported(TimePoint until);
   void SendRevocations(const std::string& name, Database& database);
   void OnRevocation(const std::string& name, std::uint64_t step, const std::string& member,
-                    bool acknowledged, const std::optional<LogPosition>& newest);
+                    const RevocationReply& reply);
   void CheckRevocations(const std::string& name, Database& database);
   void BeginSelection(const std::string& name, Database& database);
   void ProbeCandidates(const std::string& name, Database& database);
@@ -423,6 +432,8 @@
   std::map<std::string, std::map<std::string, int>> shares;  ///< By member and backend server.
   TimePoint shares_at;
   std::uint64_t last_replacement = 0;
+  /// Until then, commits may have been confirmed by processes that cannot report them any more.
+  TimePoint unreported_until;
   int promotions_in_flight = 0;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);  ///< Expires with the object.
 };
--- a/src/leader/grant_holders.cc
+++ b/src/leader/grant_holders.cc
@@ -49,10 +49,19 @@
   return result;
 }
 
-void GrantHolders::ForgetExpired(TimePoint now) {
+std::uint64_t GrantHolders::Registration(const std::string& member) const {
+  const auto found = this->holders.find(member);
+  return found == this->holders.end() ? 0 : found->second.registration;
+}
+
+TimePoint GrantHolders::ForgetExpired(TimePoint now) {
+  TimePoint last = TimePoint::min();
   for (auto holder = this->holders.begin(); holder != this->holders.end();) {
-    holder = End(holder->second) <= now ? this->holders.erase(holder) : std::next(holder);
+    const TimePoint end = End(holder->second);
+    last = end <= now ? std::max(last, end) : last;
+    holder = end <= now ? this->holders.erase(holder) : std::next(holder);
   }
+  return last;
 }
 
 }  // namespace sycamoredrum
--- a/src/leader/primary_authority.cc
+++ b/src/leader/primary_authority.cc
@@ -233,6 +233,11 @@
   }
   const TimePoint now = this->clock.Now();
   Member& member = found->second;
+  if (report.registration != 0 && report.registration != member.registration) {
+    // An earlier process of the member may have confirmed commits.
+    member.registration = report.registration;
+    this->CommitsUnreported(now);
+  }
   member.heartbeat_received = true;
   member.last_heartbeat = now;
   member.report = report;
@@ -341,7 +346,7 @@
     return;
   }
   this->CheckContact();
-  this->holders.ForgetExpired(this->clock.Now());
+  this->CommitsUnreported(this->holders.ForgetExpired(this->clock.Now()));
   for (auto& [name, database] : this->databases) {
     switch (database.phase) {
       case Phase::kDiscover:
--- a/src/leader/primary_authority_test.cc
+++ b/src/leader/primary_authority_test.cc
@@ -54,7 +54,7 @@
         this->grants.Revoke(epoch, database, generation);
         this->grants.FinishRevocation(database);
       }
-      done(this->revocations_acknowledged, std::nullopt);
+      done(RevocationReply{this->revocations_acknowledged, std::nullopt, kRegistration});
     };
     hooks.probe = [this](const BackendServerRecord& server, Duration,
                          const std::function<void(const BackendProbe&)>& done) {
--- a/src/leader/primary_replacement.cc
+++ b/src/leader/primary_replacement.cc
@@ -30,6 +30,7 @@
   database.claimed_term.reset();
   database.old_server = database.record.server;
   database.final_position.reset();
+  database.last_observation = database.newest;
   this->BeginSelection(name, database);
   this->Enter(name, database, Phase::kRevoke);
   this->AwaitAllHolders(database);
@@ -42,7 +43,6 @@
 // Members without a grant are asked as well; a planned change needs the newest position that they
 // know.
 void PrimaryAuthority::AwaitAllHolders(Database& database) const {
-  database.all_acknowledged = true;
   database.awaiting = this->holders.HoldersAt(this->clock.Now());
   for (const auto& [member, state] : this->members) {
     database.awaiting.insert(member);
@@ -56,31 +56,39 @@
   database.next_call = this->clock.Now() + 2 * kProbeInterval;
   const std::set<std::string> targets = database.awaiting;
   for (const std::string& member : targets) {
-    this->hooks.revoke(
-        member, this->epoch, name, generation, database.planned,
-        [this, name, member, step = database.step, weak = std::weak_ptr<bool>(this->alive)](
-            bool acknowledged, const std::optional<LogPosition>& newest) {
-          if (!weak.expired()) {
-            this->OnRevocation(name, step, member, acknowledged, newest);
-          }
-        });
+    this->hooks.revoke(member, this->epoch, name, generation, database.planned,
+                       [this, name, member, step = database.step,
+                        weak = std::weak_ptr<bool>(this->alive)](const RevocationReply& reply) {
+                         if (!weak.expired()) {
+                           this->OnRevocation(name, step, member, reply);
+                         }
+                       });
   }
 }
 
 void PrimaryAuthority::OnRevocation(const std::string& name, std::uint64_t step,
-                                    const std::string& member, bool acknowledged,
-                                    const std::optional<LogPosition>& newest) {
+                                    const std::string& member, const RevocationReply& reply) {
   Database* database = this->DatabaseAtStep(name, step);
-  if (database == nullptr || !acknowledged) {
+  if (database == nullptr || !reply.acknowledged) {
     return;
   }
   database->awaiting.erase(member);
-  if (newest && (!database->final_position || *database->final_position < *newest)) {
-    database->final_position = newest;
+  if (reply.newest) {
+    database->final_position =
+        std::max(database->final_position.value_or(LogPosition{}), *reply.newest);
+  }
+  const bool held = this->holders.End(member) != TimePoint::min();
+  if (held && reply.registration != this->holders.Registration(member)) {
+    // Another process than the one that held the grant; it does not know that one's commits.
+    this->CommitsUnreported(this->clock.Now());
   }
   this->CheckRevocations(name, *database);
 }
 
+void PrimaryAuthority::CommitsUnreported(TimePoint until) {
+  this->unreported_until = std::max(this->unreported_until, until);
+}
+
 void PrimaryAuthority::CheckRevocations(const std::string& name, Database& database) {
   if (database.phase != Phase::kRevoke) {
     return;
@@ -88,7 +96,9 @@
   const TimePoint now = this->clock.Now();
   for (auto member = database.awaiting.begin(); member != database.awaiting.end();) {
     const bool expired = now >= this->holders.End(*member);
-    database.all_acknowledged = database.all_acknowledged && !expired;
+    if (expired) {
+      this->CommitsUnreported(this->holders.End(*member));
+    }
     member = expired ? database.awaiting.erase(member) : std::next(member);
   }
   // A member whose registration the store has lost is not asked, but its grant still ends.
@@ -184,7 +194,10 @@
   result.synchronous_replicas = replicas == this->synchronous_replicas.end() ? 0 : replicas->second;
   result.floor = database.floor.value_or(LogPosition{});
   result.final_end = database.final_position;
-  result.final_end_complete = database.all_acknowledged;
+  if (const std::optional<PositionObservation>& observed = database.last_observation) {
+    result.final_end = std::max(result.final_end.value_or(LogPosition{}), observed->position);
+    result.final_end_complete = observed->as_of >= this->unreported_until;
+  }
   result.planned = database.planned;
   return result;
 }
--- a/src/leader/successor_choice_test.cc
+++ b/src/leader/successor_choice_test.cc
@@ -23,6 +23,8 @@
 
 constexpr const char* kDatabase = "orders";
 constexpr const char* kMember = "relay";
+constexpr const char* kIdleMember = "idle";  ///< Sends no statements.
+constexpr std::uint64_t kRegistration = 1;
 constexpr Duration kStep = milliseconds(10);
 constexpr Duration kTick = milliseconds(50);
 constexpr Duration kHeartbeat = milliseconds(100);
@@ -31,7 +33,7 @@
 /// Shortest time in use within which requests must be served again after a failure.
 constexpr Duration kRecoveryLimit = seconds(12);
 
-/// A primary and its replicas, a leader, and one member that writes continuously.
+/// A primary and its replicas, a leader, a member that writes continuously and an idle one.
 class SuccessorChoiceTest : public testing::Test {
  protected:
   struct Server {
@@ -57,6 +59,7 @@
     this->servers.clear();
     this->confirmed.clear();
     this->grant.reset();
+    this->registration = kRegistration;
     this->revoked_generation = 0;
     this->member_cut_until = this->clock.Now();
     this->member_silent_until = this->clock.Now();
@@ -76,7 +79,7 @@
     this->authority->SetDatabases({{kDatabase, 20}});
     this->authority->SetSynchronousReplicas({{kDatabase, synchronous_replicas}});
     FleetState state;
-    state.members = {kMember};
+    state.members = {kMember, kIdleMember};
     state.era_observed_at = this->clock.Now();
     this->epoch = 1;
     this->authority->Begin(this->epoch, state);
@@ -97,8 +100,12 @@
 
   PrimaryAuthorityHooks MakeHooks() {
     PrimaryAuthorityHooks hooks;
-    hooks.revoke = [this](const std::string&, std::uint64_t, const std::string&,
+    hooks.revoke = [this](const std::string& member, std::uint64_t, const std::string&,
                           std::uint64_t generation, bool, const RevocationCallback& done) {
+      if (member != kMember) {
+        done(RevocationReply{true, std::nullopt, kRegistration});
+        return;
+      }
       this->clock.RunAfter(milliseconds(5), [this, generation, done] {
         if (this->clock.Now() < this->member_silent_until ||
             this->clock.Now() < this->member_cut_until) {
@@ -110,7 +117,7 @@
         if (this->grant && this->grant->generation <= generation) {
           this->grant.reset();
         }
-        done(true, newest);
+        done(RevocationReply{true, newest, this->registration});
       });
     };
     hooks.probe = [this](const BackendServerRecord& record, Duration timeout,
@@ -219,13 +226,19 @@
   }
 
   void Heartbeat() {
+    MemberReport idle;
+    idle.member = kIdleMember;
+    idle.registration = kRegistration;
+    idle.registered = true;
+    idle.epoch = this->epoch;
+    this->authority->OnReport(idle);
     if (this->clock.Now() < this->member_silent_until ||
         this->clock.Now() < this->member_cut_until) {
       return;
     }
     MemberReport report;
     report.member = kMember;
-    report.registration = 1;
+    report.registration = this->registration;
     report.registered = true;
     report.epoch = this->epoch;
     DatabaseReport& database = report.databases[kDatabase];
@@ -333,6 +346,7 @@
   std::optional<PositionObservation> observed;
   std::optional<TimePoint> answered_at;
   std::uint64_t epoch = 1;
+  std::uint64_t registration = kRegistration;  ///< Of the member's process.
   std::uint64_t revision = 1;
   std::unique_ptr<PrimaryAuthority> authority;
 };
@@ -428,7 +442,7 @@
   this->authority->End();
   this->At(1).down_until = this->clock.Now() + seconds(6);
   FleetState state;
-  state.members = {kMember};
+  state.members = {kMember, kIdleMember};
   state.records[kDatabase] = PrimaryRecord{"s1", this->grant->generation + 1, false, 1, 0, true};
   state.revisions[kDatabase] = this->revision;
   this->authority->Begin(++this->epoch, state);
@@ -482,6 +496,31 @@
   EXPECT_EQ(this->lost, 0);
 }
 
+// Guards against lost confirmed commits: the process that confirmed the last ones is lost together
+// with the primary, so that no member reports them. It starts again, or its grant expires.
+TEST_F(SuccessorChoiceTest, CommitsThatALostProcessConfirmedAreWaitedFor) {
+  for (const bool restarts : {true, false}) {
+    this->Start(3, 1);
+    this->promoted.clear();
+    this->At(0).silent_to_leader = true;
+    this->member_cut_until = this->clock.Now() + kNever;
+    this->Run(kStep);
+    this->At(2).deaf_until = this->clock.Now() + kNever;
+    this->Run(milliseconds(300));
+    this->At(0).down_until = this->clock.Now() + kNever;
+    this->At(1).busy_until = this->clock.Now() + seconds(7);
+    if (restarts) {
+      this->grant.reset();
+      this->observed.reset();
+      this->registration = kRegistration + 1;
+      this->member_cut_until = this->clock.Now();
+    }
+    this->RunUntilPromoted(seconds(20));
+    EXPECT_EQ(this->promoted, std::vector<std::string>{"s1"}) << restarts;
+  }
+  EXPECT_EQ(this->lost, 0);
+}
+
 TEST_F(SuccessorChoiceTest, OldPrimaryThatIsBackWithItsLogIsUsedAgain) {
   this->CrashWhileOneReplicaLags();
   this->At(1).busy_until = this->clock.Now() + kNever;
--- a/src/relay_daemon/fleet_leader.cc
+++ b/src/relay_daemon/fleet_leader.cc
@@ -85,7 +85,8 @@
           this->logger.Info("revocation", {{"member", member},
                                            {"database", database},
                                            {"acknowledged", acknowledged ? "true" : "false"}});
-          done(acknowledged, answer ? answer->newest : std::nullopt);
+          done(answer ? RevocationReply{answer->acknowledged, answer->newest, answer->registration}
+                      : RevocationReply{});
         });
   };
   result.probe = [this](const BackendServerRecord& server, Duration timeout,
--- a/src/relay_daemon/fleet_member.cc
+++ b/src/relay_daemon/fleet_member.cc
@@ -495,6 +495,7 @@
   }
   RevocationAnswer answer;
   answer.acknowledged = true;
+  answer.registration = this->registration.Revision();
   answer.newest = this->relay.LastPosition(message.database, message.generation);
   this->grants.FinishRevocation(message.database);
   done(answer);
--- a/src/relay_daemon/fleet_messages.cc
+++ b/src/relay_daemon/fleet_messages.cc
@@ -356,7 +356,7 @@
 }
 
 std::string ToJson(const RevocationAnswer& answer) {
-  Json json = {{"acknowledged", answer.acknowledged}};
+  Json json = {{"acknowledged", answer.acknowledged}, {"registration", answer.registration}};
   if (answer.newest) {
     json["newest"] = PositionJson(*answer.newest);
   }
@@ -367,6 +367,7 @@
   return Parse<RevocationAnswer>(text, [](const Json& json) {
     RevocationAnswer answer;
     answer.acknowledged = json.at("acknowledged").get<bool>();
+    answer.registration = json.value("registration", std::uint64_t{0});
     if (json.contains("newest")) {
       answer.newest = ParsePosition(json.at("newest"));
     }
--- a/src/relay_daemon/fleet_messages.h
+++ b/src/relay_daemon/fleet_messages.h
@@ -129,10 +129,12 @@
 std::string ToJson(const RevocationMessage& message);
 std::optional<RevocationMessage> ParseRevocation(const std::string& json);
 
-/// `newest` is the greatest log position that the member knows in the revoked generations.
 struct RevocationAnswer {
   bool acknowledged = false;
+  /// Greatest log position that the member knows in the revoked generations.
   std::optional<LogPosition> newest;
+  /// Revision of the registration of the member's process; 0 if it has not registered yet.
+  std::uint64_t registration = 0;
 };
 
 std::string ToJson(const RevocationAnswer& answer);
--- a/src/relay_daemon/simulated_fleet_test.h
+++ b/src/relay_daemon/simulated_fleet_test.h
@@ -421,6 +421,7 @@
   if (!older_call && this->grants.Revoke(message.epoch, message.database, message.generation)) {
     this->grants.FinishRevocation(message.database);
     answer.acknowledged = true;
+    answer.registration = this->registration->Revision();
   }
   return answer;
 }
