Promote a draining replica where it may have the last confirmed commits

With synchronous replicas, a draining replica counts until it ends, so it may be the only one that has received the last commits. It was never promoted: the leader waited for another server, and once the draining one had ended, promoted a replica without them. Its log had not reached the new instance either.

Where the database has synchronous replicas, a draining server may now be promoted in an unplanned change, after those that are ready with an equal log. It is handed over as soon as another one has its log; if it has been draining for longer than it may be used, it is replaced before any member is granted it, so that the others only receive its log. A replica that has ended is not taken for covered any more.

--- a/src/include/sycamoredrum/primary_authority.h
+++ b/src/include/sycamoredrum/primary_authority.h
@@ -385,6 +385,7 @@
   void Select(const std::string& name, Database& database);
   std::vector<SuccessorCandidate> Candidates(const std::string& name,
                                              const Database& database) const;
+  int SynchronousReplicas(const std::string& name) const;
   SuccessorRequirements Requirements(const std::string& name, const Database& database) const;
   bool OldPrimaryLeads(const Database& database) const;
   void Choose(const std::string& name, Database& database, const SuccessorChoice& choice);
--- a/src/include/sycamoredrum/successor_selection.h
+++ b/src/include/sycamoredrum/successor_selection.h
@@ -17,7 +17,8 @@
 /// A server of a database whose primary is replaced.
 struct SuccessorCandidate {
   std::string server;
-  bool eligible = true;  ///< May be promoted.
+  bool eligible = true;   ///< May be promoted.
+  bool preferred = true;  ///< Is chosen before others with an equal log.
   /// Number of members that cannot reach the server; decides between equal logs.
   std::size_t unable_to_reach = 0;
 };
@@ -83,8 +84,6 @@
   /// Starts over, for a replacement that begins at `now`. `replicas` are the other servers of the
   /// database.
   void Begin(std::set<std::string> replicas, TimePoint now);
-  /// The replica has ended as planned; another server has received its log.
-  void Left(const std::string& replica) { this->replicas.erase(replica); }
   /// All grants for the old primary have ended; no further commit is confirmed.
   void GrantsEnded(TimePoint now);
   /// Forgets all answers; servers may have stopped since, or their logs may have changed.
--- a/src/leader/primary_authority.cc
+++ b/src/leader/primary_authority.cc
@@ -136,9 +136,6 @@
 }
 
 void PrimaryAuthority::ReplicaRemoved(Database& database, const BackendServerRecord& server) const {
-  if (server.state == BackendServerState::kDraining) {
-    database.successors.Left(server.id);
-  }
   // The commits of this time may be on no other replica.
   const bool replica = database.phase == Phase::kServing && server.id != database.record.server;
   if (replica && database.newest) {
--- a/src/leader/primary_replacement.cc
+++ b/src/leader/primary_replacement.cc
@@ -176,22 +176,30 @@
 
 std::vector<SuccessorCandidate> PrimaryAuthority::Candidates(const std::string& name,
                                                              const Database& database) const {
+  // A draining replica counts as a synchronous one until it ends, so it may be the only one with
+  // the last commits. The others receive them from it, and one of them takes over.
+  const bool draining_eligible = !database.planned && this->SynchronousReplicas(name) > 0;
   std::vector<SuccessorCandidate> result;
   for (const BackendServerRecord* server : this->ServersOf(name)) {
-    const bool eligible = server->state == BackendServerState::kReady &&
-                          database.failed_targets.count(server->id) == 0;
-    result.push_back(
-        SuccessorCandidate{server->id, eligible, this->CountMembersUnableToReach(server->id)});
+    const bool ready = server->state == BackendServerState::kReady;
+    const bool eligible =
+        (ready || draining_eligible) && database.failed_targets.count(server->id) == 0;
+    result.push_back(SuccessorCandidate{server->id, eligible, ready,
+                                        this->CountMembersUnableToReach(server->id)});
   }
   return result;
 }
 
+int PrimaryAuthority::SynchronousReplicas(const std::string& name) const {
+  const auto found = this->synchronous_replicas.find(name);
+  return found == this->synchronous_replicas.end() ? 0 : found->second;
+}
+
 SuccessorRequirements PrimaryAuthority::Requirements(const std::string& name,
                                                      const Database& database) const {
   SuccessorRequirements result;
   result.old_primary = database.old_server;
-  const auto replicas = this->synchronous_replicas.find(name);
-  result.synchronous_replicas = replicas == this->synchronous_replicas.end() ? 0 : replicas->second;
+  result.synchronous_replicas = this->SynchronousReplicas(name);
   result.floor = database.floor.value_or(LogPosition{});
   result.final_end = database.final_position;
   if (const std::optional<PositionObservation>& observed = database.last_observation) {
@@ -461,10 +469,18 @@
   database.record.term = probe.term;
   database.floor.reset();
   database.ObserveNewest(PositionObservation{probe.received, sent});
-  database.hand_over_not_before = this->clock.Now() + kHandOverPause;
+  const bool draining = this->draining_since.count(database.target) != 0;
+  database.hand_over_not_before =
+      this->clock.Now() + (draining ? Duration::zero() : kHandOverPause);
   this->Enter(name, database, Phase::kServing);
   this->StoreServing(name, database);
-  this->hooks.nudge();
+  if (draining) {
+    // If it must not be used any more, it is replaced before it is granted.
+    this->CheckPrimary(name, database);
+  }
+  if (database.phase == Phase::kServing) {
+    this->hooks.nudge();
+  }
 }
 
 }  // namespace sycamoredrum
--- a/src/leader/successor_choice_test.cc
+++ b/src/leader/successor_choice_test.cc
@@ -54,7 +54,7 @@
   void Start(int servers, int synchronous_replicas) {
     // Calls in progress end first.
     this->authority.reset();
-    this->clock.Advance(seconds(5));
+    this->clock.Advance(seconds(10));
     this->lines.clear();
     this->servers.clear();
     this->confirmed.clear();
@@ -197,6 +197,22 @@
     }
   }
 
+  // Sends the log of the primary `id` to the replicas. Returns how many have received it.
+  int Replicate(const std::string& id) {
+    const Server& primary = this->servers.at(id);
+    int received = 0;
+    for (auto& [name, server] : this->servers) {
+      const bool receives = server.role == Role::kReplica && this->Running(server) &&
+                            this->clock.Now() >= server.deaf_until;
+      if (receives && primary.role == Role::kPrimary && this->Running(primary)) {
+        server.log = primary.log;
+        server.term = primary.term;
+        ++received;
+      }
+    }
+    return received;
+  }
+
   // Appends an entry at the granted primary. It is confirmed once enough replicas have received it.
   void Write() {
     if (!this->grant || this->clock.Now() >= this->grant_until ||
@@ -208,17 +224,7 @@
       return;
     }
     primary.log.push_back(primary.term);
-    int received = 0;
-    for (auto& [name, server] : this->servers) {
-      const bool receives = server.role == Role::kReplica && this->Running(server) &&
-                            this->clock.Now() >= server.deaf_until;
-      if (receives) {
-        server.log = primary.log;
-        server.term = primary.term;
-        ++received;
-      }
-    }
-    if (received >= this->synchronous_replicas) {
+    if (this->Replicate(this->grant->server) >= this->synchronous_replicas) {
       this->confirmed.push_back(End(primary));
       this->observed = PositionObservation{End(primary), this->clock.Now()};
       this->answered_at = this->clock.Now();
@@ -300,9 +306,16 @@
     });
   }
 
+  void Drain(Server& server, bool draining) {
+    server.record.state = draining ? BackendServerState::kDraining : BackendServerState::kReady;
+    if (this->authority) {
+      this->authority->PutServer(server.record);
+    }
+  }
+
   void FailRandomly(Server& server, std::mt19937_64& random) {
     const TimePoint until = this->clock.Now() + milliseconds(100 + random() % 2400);
-    switch (random() % 6) {
+    switch (random() % 7) {
       case 0:
         server.down_until = until;
         break;
@@ -321,6 +334,12 @@
       case 5:
         server.answer_time = milliseconds(10);
         break;
+      case 6:
+        this->Drain(server, true);
+        this->clock.RunAfter(until - this->clock.Now() + seconds(3), [this, id = server.record.id] {
+          this->Drain(this->servers.at(id), false);
+        });
+        break;
       default:
         break;
     }
@@ -521,6 +540,28 @@
   EXPECT_EQ(this->lost, 0);
 }
 
+// Guards against lost confirmed commits: the replica that has them is draining, and counts as a
+// synchronous one until it ends. The other one receives them from it, and takes over.
+TEST_F(SuccessorChoiceTest, DrainingReplicaWithTheConfirmedCommitsIsPromoted) {
+  for (const Duration drained : {milliseconds(500), milliseconds(5000)}) {
+    this->Start(3, 1);
+    this->promoted.clear();
+    this->Drain(this->At(1), true);
+    this->Run(drained - milliseconds(1000));
+    this->CrashWhileOneReplicaLags();
+    this->At(2).deaf_until = this->clock.Now() + milliseconds(2500);
+    EXPECT_LE(this->RunUntilPromoted(seconds(20)), milliseconds(1500)) << drained.count();
+    while (this->promoted.size() < 2 && this->clock.Now() < this->promoted_at + seconds(5)) {
+      EXPECT_TRUE(drained < PrimaryAuthority::kStopUseAfter || !this->grant ||
+                  this->grant->server != "s1");
+      this->Replicate("s1");
+      this->Run(kStep);
+    }
+    EXPECT_EQ(this->promoted, (std::vector<std::string>{"s1", "s2"})) << drained.count();
+  }
+  EXPECT_EQ(this->lost, 0);
+}
+
 TEST_F(SuccessorChoiceTest, OldPrimaryThatIsBackWithItsLogIsUsedAgain) {
   this->CrashWhileOneReplicaLags();
   this->At(1).busy_until = this->clock.Now() + kNever;
--- a/src/leader/successor_selection.cc
+++ b/src/leader/successor_selection.cc
@@ -3,6 +3,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace sycamoredrum {
@@ -118,7 +119,8 @@
     }
     const bool better =
         best == nullptr || end < answer->received ||
-        (end == answer->received && candidate.unable_to_reach < best->unable_to_reach);
+        (end == answer->received && std::tie(best->preferred, candidate.unable_to_reach) <
+                                        std::tie(candidate.preferred, best->unable_to_reach));
     if (better) {
       best = &candidate;
       end = answer->received;
