Wait for confirmed commits only, not for every entry that was seen

A successor was taken for complete if it had the newest position that a member had seen, from any answer of the old primary. Such a position includes entries that no replica has received and that were confirmed to nobody.

Members report with the end of a grant, beside the newest position, up to where they have confirmed commits in the revoked generations. An unplanned change needs these, and the first position that was observed after the last change of the replicas, after the loss of a process or after a change of the generation. A planned change needs the newest position as before.

--- a/src/include/sycamoredrum/freshness_window.h
+++ b/src/include/sycamoredrum/freshness_window.h
@@ -43,15 +43,20 @@
 
   std::optional<PositionObservation> Newest() const;
   /// Greatest position that was observed in the present generation, also by an answer that arrived
-  /// after the answers of later statements. All commits that this process confirmed in the
-  /// generation are at or before it.
+  /// after the answers of later statements.
   std::optional<LogPosition> Last() const { return this->last; }
+  /// Notes that this process confirms a commit, which is at or before `position`.
+  void Confirm(std::uint64_t generation, const LogPosition& position);
+  /// All commits that this process confirmed in the present generation are at or before this
+  /// position; nothing if it confirmed none.
+  std::optional<LogPosition> LastConfirmed() const { return this->last_confirmed; }
   std::uint64_t Generation() const { return this->generation; }
 
  private:
   std::uint64_t generation = 0;
   std::deque<PositionObservation> observations;  ///< In ascending order of `as_of`.
   std::optional<LogPosition> last;
+  std::optional<LogPosition> last_confirmed;
 };
 
 }  // namespace sycamoredrum
--- a/src/include/sycamoredrum/primary_authority.h
+++ b/src/include/sycamoredrum/primary_authority.h
@@ -106,9 +106,10 @@
 /// Answer of a member to a revocation.
 struct RevocationReply {
   bool acknowledged = false;
-  /// Newest log position that the member's process knows; all commits that it has confirmed to
-  /// callers are at or before it.
-  std::optional<LogPosition> newest;
+  std::optional<LogPosition> newest;  ///< Greatest log position that the member's process knows.
+  /// All commits that the member's process has confirmed to callers are at or before this position;
+  /// nothing if it has confirmed none.
+  std::optional<LogPosition> confirmed;
   std::uint64_t registration = 0;  ///< See MemberReport::registration.
 };
 
@@ -324,12 +325,11 @@
     std::map<std::string, BackendProbe> discovered;  ///< Answers to the probes of a discovery.
     std::size_t discovery_probes_in_flight = 0;
     SuccessorSelection successors;
-    std::optional<LogPosition> final_position;  ///< Newest position in a member's acknowledgement.
-    /// Newest position when the replacement began.
-    std::optional<PositionObservation> last_observation;
-    /// The primary's log is known to contain this position, and a successor must have it; see
-    /// SuccessorRequirements::floor.
-    std::optional<LogPosition> floor;
+    std::optional<LogPosition> final_position;   ///< Newest position in a member's acknowledgement.
+    std::optional<LogPosition> final_confirmed;  ///< As above, of confirmed commits.
+    /// First observation of the primary's log since the set of replicas changed, or since a process
+    /// was lost that may have confirmed commits. A successor must have its position.
+    std::optional<PositionObservation> floor;
     std::set<std::string> failed_targets;
     std::string target;  ///< Server that the next record names.
     /// Term in which the target already claimed to lead when it was chosen. Until its promotion
@@ -344,9 +344,13 @@
     std::uint64_t replacement = 0;
     std::uint64_t step = 0;  ///< Incremented with each phase; late callbacks are recognised by it.
 
-    void ObserveNewest(const PositionObservation& observation) {
+    /// `unreported_until`: until when lost processes may have confirmed commits.
+    void ObserveNewest(const PositionObservation& observation, TimePoint unreported_until) {
       this->newest = observation;
-      this->floor = this->floor.value_or(observation.position);
+      if (!this->floor ||
+          (this->floor->as_of < unreported_until && observation.as_of >= unreported_until)) {
+        this->floor = observation;
+      }
     }
 
     void ObserveTerm(const BackendProbe& probe) {
--- a/src/include/sycamoredrum/session_relay.h
+++ b/src/include/sycamoredrum/session_relay.h
@@ -182,10 +182,13 @@
                                                     std::uint64_t generation) const;
 
   /// Greatest known log position of the primary in `generation` or the latest one before it, or
-  /// nothing if none is known. All commits that this process confirmed in that generation are at or
-  /// before it.
+  /// nothing if none is known.
   std::optional<LogPosition> LastPosition(const std::string& database,
                                           std::uint64_t generation) const;
+  /// All commits that this process confirmed in that generation are at or before this position;
+  /// nothing if it confirmed none.
+  std::optional<LogPosition> LastConfirmed(const std::string& database,
+                                           std::uint64_t generation) const;
 
   /// Opens a session. It is refused with kUnknownDatabase if the configuration has no such route,
   /// and with kUnauthenticated if the route requires a key and the caller's is not known.
--- a/src/include/sycamoredrum/successor_selection.h
+++ b/src/include/sycamoredrum/successor_selection.h
@@ -30,10 +30,11 @@
   int synchronous_replicas = 0;
   /// All commits that were confirmed before the set of replicas last changed are at or before it.
   LogPosition floor;
-  /// Newest known end of the old primary's log.
-  std::optional<LogPosition> final_end;
-  /// All confirmed commits are at or before `final_end`.
-  bool final_end_complete = false;
+  std::optional<LogPosition> final_end;  ///< Newest known end of the old primary's log.
+  /// Greatest position of a commit that a member reports as confirmed, at least `floor`.
+  LogPosition confirmed_end;
+  /// No other process has confirmed later commits.
+  bool confirmed_end_complete = false;
   /// The old primary runs, and none of its entries may be lost.
   bool planned = false;
 };
--- a/src/leader/primary_authority.cc
+++ b/src/leader/primary_authority.cc
@@ -139,7 +139,7 @@
   // The commits of this time may be on no other replica.
   const bool replica = database.phase == Phase::kServing && server.id != database.record.server;
   if (replica && database.newest) {
-    database.floor = database.newest->position;
+    database.floor = database.newest;
   }
 }
 
@@ -267,7 +267,7 @@
       database.suspected = true;
     }
     if (state.newest && (!database.newest || state.newest->as_of > database.newest->as_of)) {
-      database.ObserveNewest(*state.newest);
+      database.ObserveNewest(*state.newest, this->unreported_until);
     }
   }
   if (!report.registered) {
--- a/src/leader/primary_replacement.cc
+++ b/src/leader/primary_replacement.cc
@@ -30,7 +30,7 @@
   database.claimed_term.reset();
   database.old_server = database.record.server;
   database.final_position.reset();
-  database.last_observation = database.newest;
+  database.final_confirmed.reset();
   this->BeginSelection(name, database);
   this->Enter(name, database, Phase::kRevoke);
   this->AwaitAllHolders(database);
@@ -77,6 +77,10 @@
     database->final_position =
         std::max(database->final_position.value_or(LogPosition{}), *reply.newest);
   }
+  if (reply.confirmed) {
+    database->final_confirmed =
+        std::max(database->final_confirmed.value_or(LogPosition{}), *reply.confirmed);
+  }
   const bool held = this->holders.End(member) != TimePoint::min();
   if (held && reply.registration != this->holders.Registration(member)) {
     // Another process than the one that held the grant; it does not know that one's commits.
@@ -200,11 +204,12 @@
   SuccessorRequirements result;
   result.old_primary = database.old_server;
   result.synchronous_replicas = this->SynchronousReplicas(name);
-  result.floor = database.floor.value_or(LogPosition{});
   result.final_end = database.final_position;
-  if (const std::optional<PositionObservation>& observed = database.last_observation) {
-    result.final_end = std::max(result.final_end.value_or(LogPosition{}), observed->position);
-    result.final_end_complete = observed->as_of >= this->unreported_until;
+  if (const std::optional<PositionObservation>& floor = database.floor) {
+    result.floor = floor->position;
+    result.confirmed_end =
+        std::max(floor->position, database.final_confirmed.value_or(LogPosition{}));
+    result.confirmed_end_complete = floor->as_of >= this->unreported_until;
   }
   result.planned = database.planned;
   return result;
@@ -241,8 +246,8 @@
   if (server == nullptr || server->state != BackendServerState::kReady || !answer) {
     return false;
   }
-  const LogPosition known_end = std::max(database.final_position.value_or(LogPosition{}),
-                                         database.floor.value_or(LogPosition{}));
+  const LogPosition floor = database.floor ? database.floor->position : LogPosition{};
+  const LogPosition known_end = std::max(database.final_position.value_or(LogPosition{}), floor);
   return answer->role == Role::kPrimary && answer->term >= database.known_term &&
          answer->received >= known_end && database.successors.Answer(database.old_server);
 }
@@ -328,6 +333,8 @@
   database.record_lost = false;
   database.newest.reset();
   if (std::exchange(database.target_leads, false)) {
+    // The same log goes on, but members report only commits of the new generation.
+    this->CommitsUnreported(this->clock.Now());
     this->Enter(name, database, Phase::kServing);
     this->hooks.nudge();
     return;
@@ -468,7 +475,7 @@
   database.record.serving = true;
   database.record.term = probe.term;
   database.floor.reset();
-  database.ObserveNewest(PositionObservation{probe.received, sent});
+  database.ObserveNewest(PositionObservation{probe.received, sent}, this->unreported_until);
   const bool draining = this->draining_since.count(database.target) != 0;
   database.hand_over_not_before =
       this->clock.Now() + (draining ? Duration::zero() : kHandOverPause);
--- a/src/leader/primary_watch.cc
+++ b/src/leader/primary_watch.cc
@@ -153,7 +153,8 @@
             // A smaller position means that the server restarted without its log.
             if (!current->newest ||
                 (current->newest->as_of < sent && current->newest->position <= probe.received)) {
-              current->ObserveNewest(PositionObservation{probe.received, sent});
+              current->ObserveNewest(PositionObservation{probe.received, sent},
+                                     this->unreported_until);
             }
             return;
           case ProbeOutcome::kBusy:
--- a/src/leader/successor_selection.cc
+++ b/src/leader/successor_selection.cc
@@ -137,7 +137,10 @@
   if (primary && (!known_end || primary->received >= *known_end)) {
     return end >= primary->received;
   }
-  return known_end && requirements.final_end_complete && end >= *known_end;
+  if (requirements.planned && (!known_end || end < *known_end)) {
+    return false;
+  }
+  return requirements.confirmed_end_complete && end >= requirements.confirmed_end;
 }
 
 std::optional<SuccessorChoice> SuccessorSelection::Choose(
--- a/src/relay/caller_session_result.cc
+++ b/src/relay/caller_session_result.cc
@@ -179,6 +179,8 @@
                         PositionObservation{*result.position, this->active->sent_at});
     if (durable) {
       this->last_commit_position = result.position;
+      this->relay.databases[this->route.database].window.Confirm(grant->generation,
+                                                                 *result.position);
     }
   }
   if (!in_transaction) {
--- a/src/relay/freshness_window.cc
+++ b/src/relay/freshness_window.cc
@@ -9,6 +9,7 @@
     this->generation = new_generation;
     this->observations.clear();
     this->last.reset();
+    this->last_confirmed.reset();
   }
 }
 
@@ -40,6 +41,13 @@
   }
 }
 
+void FreshnessWindow::Confirm(std::uint64_t confirmed_generation, const LogPosition& position) {
+  this->StartGeneration(confirmed_generation);
+  if (confirmed_generation == this->generation) {
+    this->last_confirmed = std::max(this->last_confirmed.value_or(LogPosition{}), position);
+  }
+}
+
 std::optional<LogPosition> FreshnessWindow::OldestSince(TimePoint not_before) const {
   const auto found = std::lower_bound(
       this->observations.begin(), this->observations.end(), not_before,
--- a/src/relay/session_relay.cc
+++ b/src/relay/session_relay.cc
@@ -500,6 +500,14 @@
   return known ? found->second.window.Last() : std::nullopt;
 }
 
+std::optional<LogPosition> SessionRelay::LastConfirmed(const std::string& database,
+                                                       std::uint64_t generation) const {
+  const auto found = this->impl->databases.find(database);
+  const bool known =
+      found != this->impl->databases.end() && found->second.window.Generation() <= generation;
+  return known ? found->second.window.LastConfirmed() : std::nullopt;
+}
+
 OpenedSession SessionRelay::Open(const SessionRequest& request, CallerSessionHooks hooks) {
   OpenedSession opened;
   if (this->impl->configuration->routes.count(request.route) == 0) {
--- a/src/relay_daemon/fleet_leader.cc
+++ b/src/relay_daemon/fleet_leader.cc
@@ -85,7 +85,8 @@
           this->logger.Info("revocation", {{"member", member},
                                            {"database", database},
                                            {"acknowledged", acknowledged ? "true" : "false"}});
-          done(answer ? RevocationReply{answer->acknowledged, answer->newest, answer->registration}
+          done(answer ? RevocationReply{answer->acknowledged, answer->newest, answer->confirmed,
+                                        answer->registration}
                       : RevocationReply{});
         });
   };
--- a/src/relay_daemon/fleet_member.cc
+++ b/src/relay_daemon/fleet_member.cc
@@ -497,6 +497,7 @@
   answer.acknowledged = true;
   answer.registration = this->registration.Revision();
   answer.newest = this->relay.LastPosition(message.database, message.generation);
+  answer.confirmed = this->relay.LastConfirmed(message.database, message.generation);
   this->grants.FinishRevocation(message.database);
   done(answer);
 }
--- a/src/relay_daemon/fleet_messages.cc
+++ b/src/relay_daemon/fleet_messages.cc
@@ -360,6 +360,9 @@
   if (answer.newest) {
     json["newest"] = PositionJson(*answer.newest);
   }
+  if (answer.confirmed) {
+    json["confirmed"] = PositionJson(*answer.confirmed);
+  }
   return json.dump();
 }
 
@@ -371,6 +374,9 @@
     if (json.contains("newest")) {
       answer.newest = ParsePosition(json.at("newest"));
     }
+    if (json.contains("confirmed")) {
+      answer.confirmed = ParsePosition(json.at("confirmed"));
+    }
     return answer;
   });
 }
--- a/src/relay_daemon/fleet_messages.h
+++ b/src/relay_daemon/fleet_messages.h
@@ -133,6 +133,9 @@
   bool acknowledged = false;
   /// Greatest log position that the member knows in the revoked generations.
   std::optional<LogPosition> newest;
+  /// All commits that the member's process confirmed in them are at or before this position;
+  /// nothing if it confirmed none.
+  std::optional<LogPosition> confirmed;
   /// Revision of the registration of the member's process; 0 if it has not registered yet.
   std::uint64_t registration = 0;
 };
