Consider an old primary that is back as a replica

The old primary was left out of the choice of its successor for good. If the promoted server crashes before it is confirmed, the old one comes back as a replica, or still claims to lead in its earlier term, and may be the only one with all confirmed commits; another server was promoted without them.

It is a candidate now once it answers as a replica, or in an earlier term than the latest known one. Commits that it alone has, beyond those confirmed, are not waited for.

--- a/src/include/sycamoredrum/successor_selection.h
+++ b/src/include/sycamoredrum/successor_selection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -25,7 +26,8 @@
 
 /// What is known of the commits that callers were told of.
 struct SuccessorRequirements {
-  std::string old_primary;  ///< Empty if it is not known.
+  std::string old_primary;       ///< Empty if it is not known.
+  std::uint64_t known_term = 0;  ///< Latest known term of the database.
   /// Number of replicas that have received a commit before it is confirmed.
   int synchronous_replicas = 0;
   /// All commits that were confirmed before the set of replicas last changed are at or before it.
@@ -120,8 +122,11 @@
     TimePoint answer_sent;  ///< When the probe of the last answer was sent.
   };
 
+  /// True if the old primary answered after another server had been promoted, which has failed too.
+  /// It may still claim to lead in its earlier term.
+  static bool Replaced(const SuccessorRequirements& requirements, const BackendProbe& primary);
   const Server* Find(const std::string& server) const;
-  const SuccessorCandidate* Best(const std::string& old_primary,
+  const SuccessorCandidate* Best(const SuccessorRequirements& requirements,
                                  const std::vector<SuccessorCandidate>& candidates) const;
   /// True if a log that ends at `end` certainly contains all confirmed commits of the old primary.
   bool HasAll(const SuccessorRequirements& requirements, const LogPosition& end) const;
--- a/src/leader/primary_replacement.cc
+++ b/src/leader/primary_replacement.cc
@@ -203,6 +203,7 @@
                                                      const Database& database) const {
   SuccessorRequirements result;
   result.old_primary = database.old_server;
+  result.known_term = database.known_term;
   result.synchronous_replicas = this->SynchronousReplicas(name);
   result.final_end = database.final_position;
   if (const std::optional<PositionObservation>& floor = database.floor) {
--- a/src/leader/successor_choice_test.cc
+++ b/src/leader/successor_choice_test.cc
@@ -489,6 +489,23 @@
   EXPECT_TRUE(this->grant && this->grant->server == "s0" && this->grant->generation > 1);
 }
 
+// Guards against lost confirmed commits: the promoted server crashes before it is confirmed, and
+// the old primary is back as a replica with all commits.
+TEST_F(SuccessorChoiceTest, OldPrimaryThatIsBackAsAReplicaIsPromotedAgain) {
+  this->CrashWhileOneReplicaLags();
+  while (!this->Logged("phase=confirm")) {
+    this->Run(kStep);
+  }
+  this->At(1).answer_time = milliseconds(400);
+  this->RunUntilPromoted(seconds(20));
+  ASSERT_EQ(this->promoted, std::vector<std::string>{"s1"});
+  this->At(1).down_until = this->clock.Now() + kNever;
+  this->At(0).down_until = this->clock.Now() + seconds(1);
+  this->RunUntilPromoted(seconds(20));
+  EXPECT_EQ(this->promoted, (std::vector<std::string>{"s1", "s0"}));
+  EXPECT_EQ(this->lost, 0);
+}
+
 // Guards against lost confirmed commits after the loss of a replica: the only one that is left has
 // never received them.
 TEST_F(SuccessorChoiceTest, CommitsFromBeforeTheLossOfAReplicaAreWaitedFor) {
--- a/src/leader/successor_selection.cc
+++ b/src/leader/successor_selection.cc
@@ -108,13 +108,21 @@
                     [&](const std::string& other) { return !this->Covered(other, end); }));
 }
 
+bool SuccessorSelection::Replaced(const SuccessorRequirements& requirements,
+                                  const BackendProbe& primary) {
+  return !requirements.planned &&
+         (primary.role == Role::kReplica || primary.term < requirements.known_term);
+}
+
 const SuccessorCandidate* SuccessorSelection::Best(
-    const std::string& old_primary, const std::vector<SuccessorCandidate>& candidates) const {
+    const SuccessorRequirements& requirements,
+    const std::vector<SuccessorCandidate>& candidates) const {
   const SuccessorCandidate* best = nullptr;
   LogPosition end;
   for (const SuccessorCandidate& candidate : candidates) {
     const std::optional<BackendProbe> answer = this->Answer(candidate.server);
-    if (!candidate.eligible || candidate.server == old_primary || !answer) {
+    if (!candidate.eligible || !answer ||
+        (candidate.server == requirements.old_primary && !Replaced(requirements, *answer))) {
       continue;
     }
     const bool better =
@@ -134,10 +142,11 @@
   const std::optional<LogPosition>& known_end = requirements.final_end;
   const std::optional<BackendProbe> primary = this->FinalAnswer(requirements.old_primary);
   // A smaller position means that the old primary has restarted without its log.
-  if (primary && (!known_end || primary->received >= *known_end)) {
-    return end >= primary->received;
+  const bool end_known = primary && (!known_end || primary->received >= *known_end);
+  if (end_known && end >= primary->received) {
+    return true;
   }
-  if (requirements.planned && (!known_end || end < *known_end)) {
+  if (requirements.planned && (end_known || !known_end || end < *known_end)) {
     return false;
   }
   return requirements.confirmed_end_complete && end >= requirements.confirmed_end;
@@ -147,7 +156,7 @@
     const SuccessorRequirements& requirements, const std::vector<SuccessorCandidate>& candidates,
     TimePoint now) const {
   const std::string& old_primary = requirements.old_primary;
-  const SuccessorCandidate* best = this->Best(old_primary, candidates);
+  const SuccessorCandidate* best = this->Best(requirements, candidates);
   if (best == nullptr || !this->grants_ended) {
     return std::nullopt;
   }
