Replace a promoted server that falls silent before it is confirmed

A server whose promotion the platform had accepted, and that then answered nothing, was asked to lead again every 2.4 s, and no other one was chosen: the database had no primary until the server was back.

If the server has answered no probe within the time limit of the confirmation, the choice is made again, without it at first. Nothing has been granted to it. New log event promoted_server_silent.

--- a/src/include/sycamoredrum/primary_authority.h
+++ b/src/include/sycamoredrum/primary_authority.h
@@ -335,6 +335,7 @@
     /// Term in which the target already claimed to lead when it was chosen. Until its promotion
     /// takes effect, it may be a former primary that has not noticed its replacement.
     std::optional<std::uint64_t> claimed_term;
+    bool target_answered = false;  ///< Since its promotion was requested.
     std::string old_server;
     bool call_in_flight = false;
     TimePoint next_call;
@@ -404,6 +405,7 @@
   bool Settled() const { return this->clock.Now() >= this->settled_from; }
   void Promote(const std::string& name, Database& database);
   void OnPromote(const std::string& name, Database& database, PromoteOutcome outcome);
+  void RejectTarget(const std::string& name, Database& database);
   void Confirm(const std::string& name, Database& database);
   void OnConfirm(const std::string& name, Database& database, const BackendProbe& probe,
                  TimePoint sent);
--- a/src/leader/primary_authority.cc
+++ b/src/leader/primary_authority.cc
@@ -182,6 +182,7 @@
   database.call_in_flight = false;
   database.unanswered_probes.clear();
   database.discovery_probes_in_flight = 0;
+  database.target_answered = false;
   ++database.step;
   if (phase == Phase::kServing) {
     database.last_answer = now;
--- a/src/leader/primary_replacement.cc
+++ b/src/leader/primary_replacement.cc
@@ -414,14 +414,7 @@
       this->Confirm(name, database);
       return;
     case PromoteOutcome::kNotRunning:
-      // After a hand-over that was given up, some members may still use this server.
-      database.failed_targets.insert(database.target);
-      database.successors.Forget();
-      database.planned = false;
-      this->Enter(name, database, Phase::kRevoke);
-      this->SendRevocations(name, database);
-      this->ProbeCandidates(name, database);
-      this->CheckRevocations(name, database);
+      this->RejectTarget(name, database);
       return;
     case PromoteOutcome::kNotDone:
     case PromoteOutcome::kUnknown:
@@ -432,8 +425,26 @@
   }
 }
 
+// Chooses another server, because the target has failed.
+void PrimaryAuthority::RejectTarget(const std::string& name, Database& database) {
+  // After a hand-over that was given up, some members may still use the target.
+  database.failed_targets.insert(database.target);
+  database.successors.Forget();
+  database.planned = false;
+  this->Enter(name, database, Phase::kRevoke);
+  this->SendRevocations(name, database);
+  this->ProbeCandidates(name, database);
+  this->CheckRevocations(name, database);
+}
+
 void PrimaryAuthority::Confirm(const std::string& name, Database& database) {
   const TimePoint now = this->clock.Now();
+  if (now - database.phase_started > kConfirmationLimit && !database.target_answered) {
+    this->logger.Warning("promoted_server_silent",
+                         {{"database", name}, {"server", database.target}});
+    this->RejectTarget(name, database);
+    return;
+  }
   if (now - database.phase_started > kConfirmationLimit) {
     // The platform may leave the present primary as it is.
     database.claimed_term.reset();
@@ -463,6 +474,8 @@
 void PrimaryAuthority::OnConfirm(const std::string& name, Database& database,
                                  const BackendProbe& probe, TimePoint sent) {
   database.ObserveTerm(probe);
+  database.target_answered = database.target_answered || probe.outcome == ProbeOutcome::kAnswered ||
+                             probe.outcome == ProbeOutcome::kBusy;
   const bool not_promoted_yet = database.claimed_term && probe.term <= *database.claimed_term;
   if (probe.outcome != ProbeOutcome::kAnswered || probe.role != Role::kPrimary ||
       probe.term < database.known_term || not_promoted_yet) {
--- a/src/leader/successor_choice_test.cc
+++ b/src/leader/successor_choice_test.cc
@@ -639,6 +639,25 @@
   }
 }
 
+// Guards against a database that has no primary for good: the promoted server falls silent before
+// it is confirmed, and was asked to lead again and again.
+TEST_F(SuccessorChoiceTest, PromotedServerThatFallsSilentIsReplaced) {
+  for (const int synchronous : {0, 1}) {
+    this->Start(3, synchronous);
+    this->promoted.clear();
+    this->At(0).down_until = this->clock.Now() + kNever;
+    while (!this->Logged("phase=confirm")) {
+      this->Run(kStep);
+    }
+    this->At(1).answer_time = this->At(2).answer_time = milliseconds(400);
+    this->RunUntilPromoted(seconds(20));
+    ASSERT_EQ(this->promoted.size(), 1U);
+    this->servers.at(this->promoted[0]).silent_until = this->clock.Now() + kNever;
+    EXPECT_LE(this->RunUntilPromoted(seconds(30)), kRecoveryLimit) << synchronous;
+  }
+  EXPECT_EQ(this->lost, 0);
+}
+
 // Without synchronous replicas every choice may lose commits, and the wait for a better one is
 // short.
 TEST_F(SuccessorChoiceTest, WithoutSynchronousReplicasABusyServerIsWaitedForBriefly) {
