Test that answers to revocations are read back

Nothing checked that the positions and the registration in them, on which the choice of a primary relies, survive the encoding.

--- a/src/relay_daemon/fleet_messages_test.cc
+++ b/src/relay_daemon/fleet_messages_test.cc
@@ -233,6 +233,24 @@
   }
 }
 
+// Guards against lost commits after a promotion: what a member has confirmed must reach the leader.
+TEST(FleetMessagesTest, RevocationAnswersAreReadBack) {
+  RevocationAnswer answer;
+  answer.acknowledged = true;
+  answer.newest = LogPosition{3, 40};
+  answer.confirmed = LogPosition{3, 38};
+  answer.registration = 17;
+  const std::optional<RevocationAnswer> read = ParseRevocationAnswer(ToJson(answer));
+  ASSERT_TRUE(read);
+  EXPECT_TRUE(read->acknowledged);
+  EXPECT_EQ(read->newest, answer.newest);
+  EXPECT_EQ(read->confirmed, answer.confirmed);
+  EXPECT_EQ(read->registration, answer.registration);
+  const std::optional<RevocationAnswer> refusal = ParseRevocationAnswer(ToJson(RevocationAnswer{}));
+  ASSERT_TRUE(refusal);
+  EXPECT_FALSE(refusal->acknowledged || refusal->newest || refusal->confirmed);
+}
+
 TEST(FleetMessagesTest, UnreadableMessagesAreDropped) {
   for (const char* text : {"", "null", "[]", "{}", "{\"member\":3}", "\xff"}) {
     EXPECT_FALSE(ParseHeartbeat(text)) << text;
