--- a/src/include/sycamoredrum/primary_authority.h
+++ b/src/include/sycamoredrum/primary_authority.h
@@ -378,6 +378,7 @@
   void Replace(const std::string& name, Database& database, bool planned,
                const std::string& reason);
   void AwaitAllHolders(Database& database) const;
+  /// Until `until`, processes that are lost now may have confirmed commits.
   void CommitsUnreported(TimePoint until);
   void SendRevocations(const std::string& name, Database& database);
   void OnRevocation(const std::string& name, std::uint64_t step, const std::string& member,
