Log the position that a statement requires and the one that a term begins at

Three causes are possible: positions of a former primary that pass for those of the present one, a promotion that brings rolled back commits back, and two grants at the same time. The log tells them apart with the position that a read required, the transaction that it belongs to, and the position at which a promoted server begins its term.

--- a/src/leader/primary_replacement.cc
+++ b/src/leader/primary_replacement.cc
@@ -340,6 +340,10 @@
   if (old_server != nullptr && old_server->id != database.target) {
     this->hooks.demote(*old_server, probe.term);
   }
+  this->logger.Info("primary_confirmed", {{"database", name},
+                                          {"server", database.target},
+                                          {"term", absl::StrCat(probe.term)},
+                                          {"position", probe.received.ToString()}});
   database.record.serving = true;
   database.record.term = probe.term;
   database.floor.reset();
--- a/src/relay/caller_session.cc
+++ b/src/relay/caller_session.cc
@@ -317,6 +317,12 @@
     fields.push_back(
         {"grant_left_ms", LogMilliseconds(this->active->grant->valid_until - this->Now())});
   }
+  if (this->transaction != TransactionState::kNone) {
+    fields.push_back({"transaction", this->read_only ? "read_only" : "read_write"});
+  }
+  if (this->active->required) {
+    fields.push_back({"required", this->active->required->ToString()});
+  }
   if (result.position) {
     fields.push_back({"position", result.position->ToString()});
   }
--- a/src/relay/caller_session.h
+++ b/src/relay/caller_session.h
@@ -74,6 +74,8 @@
     TimePoint sent_at;
     std::string server;                   ///< Server that it was last sent to.
     std::optional<PrimaryGrant> grant;    ///< Grant under which it was last sent.
+    /// Log position that it, or the beginning of its transaction, last required of a server.
+    std::optional<LogPosition> required;
     std::uint64_t number = 0;             ///< Unique in the session.
     std::uint64_t attempt = 0;            ///< Counts the times that it was sent.
     std::string holder;                   ///< Holder that it was last sent to, if it was forwarded.
--- a/src/relay/caller_session_dispatch.cc
+++ b/src/relay/caller_session_dispatch.cc
@@ -319,6 +319,7 @@
     this->Dispatch();
     return;
   }
+  this->active->required = required;
   Statement begin;
   begin.kind = this->read_only ? StatementKind::kBeginReadOnly : StatementKind::kBegin;
   this->Connection()->Execute(
@@ -367,6 +368,7 @@
       this->Dispatch();
       return;
     }
+    this->active->required = command.required;
   }
   this->wrote = this->wrote || (this->transaction == TransactionState::kOpen &&
                                 this->Writes(this->active->statement));
