--- /dev/null
+++ b/src/relay/position_after_grant_test.cc
@@ -0,0 +1,48 @@
+// What a process learns of the primary's log from answers that arrive around the end of its grant.
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "session_relay_fixture_test.h"
+
+namespace sycamoredrum {
+namespace {
+
+class PositionAfterGrantTest : public SessionRelayTest {
+ protected:
+  /// Begins a read-only transaction at server 0, the only one that is known, under a grant that
+  /// ends half a second later.
+  TestCaller& Begin(std::uint64_t generation) {
+    for (const int replica : {1, 2}) {
+      this->relay->RemoveServer(this->database.Id(replica));
+    }
+    this->Grant(0, generation, milliseconds(500));
+    TestCaller& caller = this->Open("place");
+    EXPECT_FALSE(
+        this->RunStatement(caller, MakeStatement(StatementKind::kBeginReadOnly, "begin")).error);
+    EXPECT_FALSE(this->RunStatement(caller, MakeStatement(StatementKind::kRead, "first")).error);
+    return caller;
+  }
+};
+
+// Guards against reads that lack commits older than the route's maximum age: a transaction that
+// reads from the former primary goes on after the end of the grant, and its answers passed for
+// positions of the present primary.
+TEST_F(PositionAfterGrantTest, AnswerInATransactionAfterTheEndOfTheGrantIsNoPositionOfThePrimary) {
+  std::uint64_t generation = 1;
+  for (const std::string route : {"stock", "quotes"}) {
+    TestCaller& transaction = this->Begin(++generation);
+    // Longer than the maximum ages, shorter than transactions may be idle.
+    this->Advance(milliseconds(2800));
+    ASSERT_FALSE(this->grants.Current("orders"));
+    EXPECT_FALSE(
+        this->RunStatement(transaction, MakeStatement(StatementKind::kRead, "later")).error);
+    this->RunStatement(this->Open(route), MakeStatement(StatementKind::kRead, "read" + route));
+    EXPECT_TRUE(this->RunsOf("read" + route).empty()) << route;
+    transaction.session->OnCallerDisconnected();
+  }
+}
+
+}  // namespace
+}  // namespace sycamoredrum
