Take no position of the primary from a statement without a valid grant

Behind a partition, single reads and transactions on bounded_staleness and read_your_writes routes ran at a former primary and at replicas that still follow it, and lacked commits that were older than the maximum age of their route (STALE).

Cause: a read-only transaction may go on at its server after the end of the grant. Its answers were still recorded as positions of the primary's log as of the time of their statements, and served as proof of freshness for the reads of all sessions of the relay, until it learned of a new generation.

A statement counts as sent under a grant only if the grant was valid when it was sent.

PositionAfterGrantTest failed before for both kinds of routes; all 162 cases of relay_test pass.

--- a/src/relay/caller_session.h
+++ b/src/relay/caller_session.h
@@ -72,8 +72,9 @@
     bool sent = false;          ///< The statement itself, not only its setup, was sent.
     bool rate_limited = false;  ///< Refused by SessionRelayHooks::admit.
     TimePoint sent_at;
-    std::string server;                   ///< Server that it was last sent to.
-    std::optional<PrimaryGrant> grant;    ///< Grant under which it was last sent.
+    std::string server;  ///< Server that it was last sent to.
+    /// Grant under which it was last sent. A read-only transaction may go on without one.
+    std::optional<PrimaryGrant> grant;
     /// Log position that it, or the beginning of its transaction, last required of a server.
     std::optional<LogPosition> required;
     std::uint64_t number = 0;             ///< Unique in the session.
@@ -165,6 +166,9 @@
   /// not used as the primary's, its grant is still valid, or a read-only transaction has begun on
   /// it.
   bool MayUseServer() const;
+  /// True if the leased connection is used under a grant that is still valid: the server is the
+  /// primary.
+  bool UsesGrant() const;
   /// True if the active statement writes or belongs to a transaction that may.
   bool MayWrite() const;
   /// Sets the state of this session on the leased connection, then begins the transaction or sends
--- a/src/relay/caller_session_dispatch.cc
+++ b/src/relay/caller_session_dispatch.cc
@@ -227,11 +227,15 @@
 // even if another server has become primary since.
 bool RelayCallerSession::MayUseServer() const {
   const bool current =
-      !this->held->grant || (this->held->began && this->read_only) ||
-      this->relay.grants.StillValid(this->route.database, this->held->grant->generation);
+      !this->held->grant || (this->held->began && this->read_only) || this->UsesGrant();
   return current && this->HoldsOwnConnection();
 }
 
+bool RelayCallerSession::UsesGrant() const {
+  return this->held->grant &&
+         this->relay.grants.StillValid(this->route.database, this->held->grant->generation);
+}
+
 bool RelayCallerSession::MayWrite() const {
   return this->Writes(this->active->statement) ||
          (this->transaction == TransactionState::kOpen && !this->read_only);
@@ -375,7 +379,7 @@
   this->active->sent = true;
   this->active->sent_at = this->Now();
   this->active->server = this->held->server;
-  this->active->grant = this->held->grant;
+  this->active->grant = this->UsesGrant() ? this->held->grant : std::nullopt;
   if (server->outstanding++ == 0) {
     server->unanswered_since = this->Now();
   }
