--- a/src/relay/caller_session_dispatch.cc
+++ b/src/relay/caller_session_dispatch.cc
@@ -227,11 +227,15 @@
 // even if another server has become primary since.
 bool RelayCallerSession::MayUseServer() const {
   const bool current =
-      !this->held->grant || (this->held->began && this->read_only) ||
-      this->relay.grants.StillValid(this->route.database, this->held->grant->generation);
+      !this->held->grant || (this->held->began && this->read_only) || this->UsesGrant();
   return current && this->HoldsOwnConnection();
 }
 
+bool RelayCallerSession::UsesGrant() const {
+  return this->held->grant &&
+         this->relay.grants.StillValid(this->route.database, this->held->grant->generation);
+}
+
 bool RelayCallerSession::MayWrite() const {
   return this->Writes(this->active->statement) ||
          (this->transaction == TransactionState::kOpen && !this->read_only);
@@ -319,6 +323,7 @@
     this->Dispatch();
     return;
   }
+  this->active->required = required;
   Statement begin;
   begin.kind = this->read_only ? StatementKind::kBeginReadOnly : StatementKind::kBegin;
   this->Connection()->Execute(
@@ -367,13 +372,14 @@
       this->Dispatch();
       return;
     }
+    this->active->required = command.required;
   }
   this->wrote = this->wrote || (this->transaction == TransactionState::kOpen &&
                                 this->Writes(this->active->statement));
   this->active->sent = true;
   this->active->sent_at = this->Now();
   this->active->server = this->held->server;
-  this->active->grant = this->held->grant;
+  this->active->grant = this->UsesGrant() ? this->held->grant : std::nullopt;
   if (server->outstanding++ == 0) {
     server->unanswered_since = this->Now();
   }
