--- a/src/leader/rolled_back_commits_test.cc
+++ b/src/leader/rolled_back_commits_test.cc
@@ -84,6 +84,115 @@
   EXPECT_EQ(this->promoted, (std::vector<std::string>{"s2", "s1"}));
 }
 
+// Guards against rolled back commits that come back because the leader that confirmed the promotion
+// could not store that the server serves: the next leader finds a server that already has entries
+// of its term.
+TEST_F(RolledBackCommitsTest, ServerWithRolledBackCommitsIsNotPromotedAfterALostServingRecord) {
+  this->Start(3, 0);
+  this->promoted.clear();
+  this->revived = 0;
+  this->CrashWhileOneReplicaLags();
+  this->serving_records_lost = true;
+  this->At(1).deaf_until = this->clock.Now() + kNever;
+  this->At(1).silent_until = this->clock.Now() + seconds(3);
+  this->RunUntilPromoted(seconds(20));
+  ASSERT_EQ(this->promoted, std::vector<std::string>{"s2"});
+  this->Run(seconds(4));
+  ASSERT_TRUE(this->grant && this->grant->server == "s2");
+  ASSERT_FALSE(this->stored.serving);
+  this->serving_records_lost = false;
+  this->ReplaceLeader();
+  this->Run(seconds(10));
+  ASSERT_TRUE(this->grant && this->grant->server == "s2");
+  ASSERT_TRUE(this->stored.serving);
+  this->At(2).down_until = this->clock.Now() + seconds(4);
+  this->Run(seconds(7));
+  EXPECT_EQ(this->promoted, std::vector<std::string>{"s2"});
+  EXPECT_EQ(this->revived, 0);
+}
+
+// As above, after the store has come back in a new era. The new leader finds the primary by asking
+// the servers.
+TEST_F(RolledBackCommitsTest, ServerWithRolledBackCommitsIsNotPromotedInANewEraOfTheStore) {
+  this->PromoteTheServerThatIsBehind(true);
+  this->authority->End();
+  FleetState state;
+  state.members = {kMember, kIdleMember};
+  state.records[kDatabase] = this->stored;
+  state.revisions[kDatabase] = this->revision;
+  state.era_observed_at = this->clock.Now();
+  this->epoch = (std::uint64_t{1} << kCounterBits) + 1;
+  ASSERT_NE(EraOf(this->epoch), this->stored.era);
+  this->At(0).down_until = this->clock.Now();  // All servers must answer.
+  this->At(0).deaf_until = this->clock.Now() + kNever;
+  this->At(0).silent_until = this->clock.Now();
+  this->authority->Begin(this->epoch, state);
+  this->Run(seconds(15));
+  ASSERT_TRUE(this->grant && this->grant->server == "s2");
+  this->At(0).down_until = this->clock.Now() + kNever;
+  this->At(2).down_until = this->clock.Now() + seconds(4);
+  this->Run(seconds(7));
+  EXPECT_EQ(this->promoted, std::vector<std::string>{"s2"});
+  EXPECT_EQ(this->revived, 0);
+}
+
+// As above, after the server with rolled back commits had to be promoted, because no other one was
+// left: it rolls back the commits of the primary before it, whose log is shorter.
+TEST_F(RolledBackCommitsTest, CommitsThatTheLastServerRolledBackDoNotComeBack) {
+  this->PromoteTheServerThatIsBehind(false);
+  this->writing = true;
+  this->Run(milliseconds(400));
+  ASSERT_LT(this->At(2).log.size(), this->At(1).log.size());
+  this->At(2).down_until = this->clock.Now() + seconds(14);
+  this->At(2).deaf_until = this->clock.Now() + kNever;
+  this->RunUntilPromoted(seconds(13));
+  ASSERT_EQ(this->promoted, (std::vector<std::string>{"s2", "s1"}));
+  this->Run(seconds(6));
+  ASSERT_TRUE(this->grant && this->grant->server == "s1");
+  this->At(1).down_until = this->clock.Now() + seconds(4);
+  this->Run(seconds(7));
+  EXPECT_EQ(this->promoted, (std::vector<std::string>{"s2", "s1"}));
+}
+
+// Guards against the loss of confirmed commits with synchronous replicas: the entries of s0 that a
+// promotion rolled back were never confirmed, and s2 lacks confirmed ones.
+TEST_F(RolledBackCommitsTest, ReplicaWithoutConfirmedCommitsIsNotPreferredToUnconfirmedEntries) {
+  this->Start(3, 1);
+  this->promoted.clear();
+  this->lost = 0;
+  this->At(2).deaf_until = this->clock.Now() + kNever;
+  this->Run(seconds(1));
+  this->At(1).deaf_until = this->clock.Now() + seconds(3);
+  this->Run(milliseconds(500));  // s0 writes entries that no replica receives.
+  ASSERT_LT(End(this->At(1)), End(this->At(0)));
+  this->At(0).down_until = this->clock.Now() + seconds(16);
+  this->At(0).deaf_until = this->clock.Now() + kNever;
+  this->RunUntilPromoted(seconds(15));
+  ASSERT_EQ(this->promoted, std::vector<std::string>{"s1"});
+  ASSERT_EQ(this->lost, 0);
+  this->Run(seconds(17));
+  ASSERT_TRUE(this->grant && this->grant->server == "s1");
+  ASSERT_TRUE(this->Answers(this->At(0)));
+  this->At(1).down_until = this->clock.Now() + kNever;
+  this->RunUntilPromoted(seconds(15));
+  EXPECT_EQ(this->promoted.back(), "s0");
+  EXPECT_EQ(this->lost, 0);
+}
+
+// Guards against the loss of a whole database: a server that has restarted without its log has no
+// rolled back entries either.
+TEST_F(RolledBackCommitsTest, ServerWithoutItsLogIsNotPreferred) {
+  this->PromoteTheServerThatIsBehind(true);
+  this->At(0).down_until = this->clock.Now();
+  this->At(0).deaf_until = this->clock.Now() + kNever;
+  this->At(0).role = Role::kReplica;
+  this->At(0).log = {1};
+  this->Run(kStep);
+  this->At(2).down_until = this->clock.Now() + kNever;
+  this->RunUntilPromoted(seconds(20));
+  EXPECT_EQ(this->promoted, (std::vector<std::string>{"s2", "s1"}));
+}
+
 // Overlapping random failures without synchronous replicas, and changes of the leader.
 TEST_F(RolledBackCommitsTest, NoRolledBackCommitComesBackInRandomFailures) {
   std::uint64_t first = 1;
--- a/src/leader/successor_choice_fixture_test.h
+++ b/src/leader/successor_choice_fixture_test.h
@@ -67,6 +67,9 @@
     this->last_confirmed.reset();
     this->answered_at.reset();
     this->synchronous_replicas = synchronous_replicas;
+    this->serving_records_lost = false;
+    this->writing = true;
+    this->lost = 0;
     this->authority = std::make_unique<PrimaryAuthority>(this->MakeHooks(), seconds(3), this->clock,
                                                          this->clock, this->logger);
     for (int i = 0; i < servers; ++i) {
@@ -161,6 +164,10 @@
     };
     hooks.store_record = [this](const std::string&, const PrimaryRecord& record, std::uint64_t,
                                 const std::function<void(PlatformStatus, std::uint64_t)>& done) {
+      if (record.serving && this->serving_records_lost) {
+        done(PlatformStatus::kUnknown, 0);
+        return;
+      }
       this->stored = record;
       done(PlatformStatus::kOk, ++this->revision);
     };
@@ -389,6 +396,7 @@
   std::optional<PositionObservation> observed;
   std::optional<LogPosition> last_confirmed;  ///< In the generation of the grant.
   std::optional<TimePoint> answered_at;
+  bool serving_records_lost = false;  ///< The store is down when a record would say that it serves.
   std::uint64_t epoch = 1;
   std::uint64_t registration = kRegistration;  ///< Of the member's process.
   PrimaryRecord stored;
--- a/src/relay/position_after_grant_test.cc
+++ b/src/relay/position_after_grant_test.cc
@@ -44,5 +44,35 @@
   }
 }
 
+// Guards against reads at a former primary: the grant ends while the state of the session is being
+// set on the connection, and the read-only transaction is begun there all the same.
+TEST_F(PositionAfterGrantTest, NoReadOnlyTransactionBeginsAfterTheEndOfTheGrant) {
+  std::uint64_t generation = 1;
+  for (const std::string route : {"place", "stock", "quotes"}) {
+    for (const int replica : {1, 2}) {
+      this->relay->RemoveServer(this->database.Id(replica));
+    }
+    this->Grant(0, ++generation);
+    TestCaller& caller = this->Open(route);
+    Statement set = MakeStatement(StatementKind::kSet, "set" + route);
+    set.name = "zone" + route;
+    set.data = "1";
+    this->RunStatement(caller, set);
+    this->RunStatement(caller, MakeStatement(StatementKind::kBeginReadOnly, "begin" + route));
+    this->database.At(0).work = milliseconds(300);
+    caller.session->Handle(MakeStatement(StatementKind::kRead, "read" + route));
+    this->Advance(milliseconds(100));
+    ASSERT_TRUE(this->RunsOf("read" + route).empty());
+    // A revocation ends the grant, and another server becomes the primary.
+    ASSERT_TRUE(this->grants.Revoke(1, "orders", generation));
+    this->grants.FinishRevocation("orders");
+    this->Advance(milliseconds(1500));
+    EXPECT_TRUE(this->RunsOf("read" + route).empty()) << route;
+    this->database.At(0).work = milliseconds(5);
+    caller.session->OnCallerDisconnected();
+    this->Advance(milliseconds(100));
+  }
+}
+
 }  // namespace
 }  // namespace sycamoredrum
