--- a/src/leader/rolled_back_commits_test.cc
+++ b/src/leader/rolled_back_commits_test.cc
@@ -193,6 +193,23 @@
   EXPECT_EQ(this->promoted, (std::vector<std::string>{"s2", "s1"}));
 }
 
+// Guards against a hand-over that fails because a member that has observed nothing since the
+// promotion reports a position that the promotion rolled back.
+TEST_F(RolledBackCommitsTest, HandOverSucceedsAlthoughAMemberKnowsARolledBackPosition) {
+  for (const bool known : {false, true}) {
+    this->PromoteTheServerThatIsBehind(false);
+    this->At(0).down_until = this->clock.Now();
+    this->Run(kStep);
+    this->Replicate("s2");
+    if (known) {
+      this->idle_newest = End(this->At(1));
+    }
+    this->Drain(this->At(2), true);
+    EXPECT_LE(this->RunUntilPromoted(seconds(20)), seconds(2)) << known;
+    EXPECT_EQ(this->promoted, (std::vector<std::string>{"s2", "s0"})) << known;
+  }
+}
+
 // Overlapping random failures without synchronous replicas, and changes of the leader.
 TEST_F(RolledBackCommitsTest, NoRolledBackCommitComesBackInRandomFailures) {
   std::uint64_t first = 1;
--- a/src/leader/successor_choice_fixture_test.h
+++ b/src/leader/successor_choice_fixture_test.h
@@ -70,6 +70,7 @@
     this->serving_records_lost = false;
     this->writing = true;
     this->lost = 0;
+    this->idle_newest.reset();
     this->authority = std::make_unique<PrimaryAuthority>(this->MakeHooks(), seconds(3), this->clock,
                                                          this->clock, this->logger);
     for (int i = 0; i < servers; ++i) {
@@ -122,7 +123,7 @@
     hooks.revoke = [this](const std::string& member, std::uint64_t, const std::string&,
                           std::uint64_t generation, bool, const RevocationCallback& done) {
       if (member != kMember) {
-        done(RevocationReply{true, std::nullopt, std::nullopt, kRegistration});
+        done(RevocationReply{true, this->idle_newest, std::nullopt, kRegistration});
         return;
       }
       this->clock.RunAfter(milliseconds(5), [this, generation, done] {
@@ -397,6 +398,7 @@
   std::optional<LogPosition> last_confirmed;  ///< In the generation of the grant.
   std::optional<TimePoint> answered_at;
   bool serving_records_lost = false;  ///< The store is down when a record would say that it serves.
+  std::optional<LogPosition> idle_newest;  ///< Newest position that the idle member knows.
   std::uint64_t epoch = 1;
   std::uint64_t registration = kRegistration;  ///< Of the member's process.
   PrimaryRecord stored;
