--- a/src/relay/position_after_grant_test.cc
+++ b/src/relay/position_after_grant_test.cc
@@ -74,5 +74,27 @@
   }
 }
 
+// Guards against writes on a log without acknowledged commits: the primary restarts under its id
+// without its log and still leads. Reads are refused by the position that they require; a write
+// carries none, but the new connection tells the end of the log.
+TEST_F(PositionAfterGrantTest, NoWriteRunsAtAPrimaryThatRestartedWithoutItsLog) {
+  TestCaller& caller = this->Open("place");
+  for (int i = 0; i < 20; ++i) {
+    ASSERT_FALSE(
+        this->RunStatement(caller, MakeStatement(StatementKind::kWrite, "w" + std::to_string(i)))
+            .error);
+  }
+  SimulatedDatabase::Server& primary = this->database.At(0);
+  primary.down = true;  // Ends the connections.
+  this->RunStatement(caller, MakeStatement(StatementKind::kRead, "down"));
+  primary.log_terms = {1};
+  primary.down = false;
+  this->Advance(seconds(1));
+  this->RunStatement(caller, MakeStatement(StatementKind::kRead, "read"));
+  EXPECT_TRUE(this->RunsOf("read").empty());
+  this->RunStatement(caller, MakeStatement(StatementKind::kWrite, "write"));
+  EXPECT_TRUE(this->RunsOf("write").empty());
+}
+
 }  // namespace
 }  // namespace sycamoredrum
