Keep the start of a term when the leader that confirmed it is lost

Commits that a promotion rolled back came back with a later one (STALE) if the leader could not store that the promoted server serves: the next leader finds entries of the new term at the server and did not know where the term begins.

The record of a chosen server now has the end of its log, behind which its term begins. A history or an end in the record that cannot be read is dropped, instead of the record as a whole.

ServerWithRolledBackCommitsIsNotPromotedAfterALostServingRecord failed before: 50 commits came back.

--- a/src/include/sycamoredrum/primary_authority.h
+++ b/src/include/sycamoredrum/primary_authority.h
@@ -38,13 +38,16 @@
   /// True if every grant from before that era had ended when the record was written. The store may
   /// have lost the registrations of members that held such grants.
   bool settled = false;
-  /// Where the latest terms of the primary's log begin. Not sent to members.
+  /// Where the latest terms of the log begin: of the server's own log if it serves, and of its
+  /// predecessor's otherwise. Not sent to members.
   TermHistory history = {};
+  /// End of the server's log when it was chosen, until it serves. Not sent to members.
+  LogPosition end = {};
 };
 
 inline bool operator==(const PrimaryRecord& a, const PrimaryRecord& b) {
-  return std::tie(a.server, a.generation, a.serving, a.term, a.era, a.settled, a.history) ==
-         std::tie(b.server, b.generation, b.serving, b.term, b.era, b.settled, b.history);
+  return std::tie(a.server, a.generation, a.serving, a.term, a.era, a.settled, a.history, a.end) ==
+         std::tie(b.server, b.generation, b.serving, b.term, b.era, b.settled, b.history, b.end);
 }
 
 /// What a new leader knows of the decisions of earlier leaders.
@@ -335,7 +338,8 @@
     /// was lost that may have confirmed commits. A successor must have its position.
     std::optional<PositionObservation> floor;
     std::set<std::string> failed_targets;
-    std::string target;  ///< Server that the next record names.
+    std::string target;      ///< Server that the next record names.
+    LogPosition target_end;  ///< End of its log when it was chosen for a promotion.
     /// Term in which the target already claimed to lead when it was chosen. Until its promotion
     /// takes effect, it may be a former primary that has not noticed its replacement.
     std::optional<std::uint64_t> claimed_term;
--- a/src/leader/primary_authority.cc
+++ b/src/leader/primary_authority.cc
@@ -88,6 +88,7 @@
       // confirmed and the generation granted, so that it is revoked, and the server gets the next
       // one.
       database.target = database.record.server;
+      database.target_end = database.record.end;
       database.resume_promotion = true;
       this->BeginSelection(name, database);
       this->Enter(name, database, Phase::kRevoke);
@@ -446,6 +447,7 @@
     // Nothing is granted before the record is stored: a later leader must find the generation that
     // it has to revoke.
     database.target = *best;
+    database.target_end = {};
     database.target_leads = true;
     this->Enter(name, database, Phase::kRecord);
     this->StoreRecord(name, database);
--- a/src/leader/primary_replacement.cc
+++ b/src/leader/primary_replacement.cc
@@ -12,6 +12,7 @@
 // server stays the primary, under a new generation that members accept.
 void PrimaryAuthority::RenewGeneration(const std::string& name, Database& database) {
   database.target = database.record.server;
+  database.target_end = {};
   database.target_leads = true;
   this->Enter(name, database, Phase::kRecord);
   this->StoreRecord(name, database);
@@ -140,6 +141,7 @@
 void PrimaryAuthority::ResumeOldPrimary(const std::string& name, Database& database) {
   database.hand_over_not_before = this->clock.Now() + kHandOverPause;
   database.target = database.old_server;
+  database.target_end = {};
   this->Enter(name, database, Phase::kRecord);
   this->StoreRecord(name, database);
 }
@@ -152,10 +154,10 @@
     return;
   }
   database.call_in_flight = true;
-  const PrimaryRecord record{database.target,        this->NextGeneration(database),
-                             database.target_leads,  database.known_term,
-                             EraOf(this->epoch),     this->Settled(),
-                             database.record.history};
+  const PrimaryRecord record{database.target,         this->NextGeneration(database),
+                             database.target_leads,   database.known_term,
+                             EraOf(this->epoch),      this->Settled(),
+                             database.record.history, database.target_end};
   this->hooks.store_record(
       name, record, database.record_revision,
       [this, name, record, step = database.step, weak = std::weak_ptr<bool>(this->alive)](
@@ -348,8 +350,13 @@
                                           {"position", probe.received.ToString()}});
   database.record.serving = true;
   database.record.term = probe.term;
-  // It has not been granted in its term before, so that its log ends where the term begins.
-  database.record.history = AfterPromotion(database.record.history, probe.term, probe.received);
+  // Its log ends where its term begins, unless an earlier leader has granted it in this term.
+  const bool granted_before = probe.received.term >= probe.term;
+  if (!granted_before || database.record.end != LogPosition()) {
+    database.record.history = AfterPromotion(database.record.history, probe.term,
+                                             granted_before ? database.record.end : probe.received);
+  }
+  database.record.end = {};
   database.floor.reset();
   database.ObserveNewest(PositionObservation{probe.received, sent}, this->unreported_until);
   const bool draining = this->draining_since.count(database.target) != 0;
--- a/src/leader/primary_selection.cc
+++ b/src/leader/primary_selection.cc
@@ -151,6 +151,7 @@
         database.final_position ? database.final_position->ToString() : "unknown"},
        {"newest_observed", database.newest ? database.newest->position.ToString() : "unknown"}});
   database.target = choice.server;
+  database.target_end = probe.received;
   database.claimed_term =
       probe.role == Role::kPrimary ? std::optional<std::uint64_t>(probe.term) : std::nullopt;
   this->Enter(name, database, Phase::kRecord);
--- a/src/relay_daemon/fleet_messages.cc
+++ b/src/relay_daemon/fleet_messages.cc
@@ -88,7 +88,8 @@
                        json.value("term", std::uint64_t{0}),
                        json.value("era", std::uint64_t{0}),
                        json.value("settled", false),
-                       TermHistory()};
+                       TermHistory(),
+                       LogPosition()};
 }
 
 Json HistoryJson(const TermHistory& history) {
@@ -99,20 +100,25 @@
   return json;
 }
 
-// Returns nothing unless the terms and their first indices ascend.
-std::optional<TermHistory> DecodeHistory(const Json& json) {
+// A term and an index, or nothing if the text is not of that form.
+std::optional<LogPosition> DecodePosition(const Json& json) {
+  if (!json.is_array() || json.size() != 2 || !json[0].is_number_unsigned() ||
+      !json[1].is_number_unsigned()) {
+    return std::nullopt;
+  }
+  return LogPosition{json[0].get<std::uint64_t>(), json[1].get<std::uint64_t>()};
+}
+
+// Empty unless the terms and their first indices ascend.
+TermHistory DecodeHistory(const Json& json) {
   std::vector<TermStart> starts;
   for (const Json& entry : json) {
-    if (!entry.is_array() || entry.size() != 2 || !entry[0].is_number_unsigned() ||
-        !entry[1].is_number_unsigned()) {
-      return std::nullopt;
+    const std::optional<LogPosition> start = DecodePosition(entry);
+    if (!start || (!starts.empty() && (start->term <= starts.back().term ||
+                                       start->index < starts.back().first_index))) {
+      return {};
     }
-    const TermStart start{entry[0].get<std::uint64_t>(), entry[1].get<std::uint64_t>()};
-    if (!starts.empty() &&
-        (start.term <= starts.back().term || start.first_index < starts.back().first_index)) {
-      return std::nullopt;
-    }
-    starts.push_back(start);
+    starts.push_back(TermStart{start->term, start->index});
   }
   return TermHistory(std::move(starts));
 }
@@ -185,6 +191,9 @@
   if (!record.history.Starts().empty()) {
     json["history"] = HistoryJson(record.history);
   }
+  if (record.end != LogPosition()) {
+    json["end"] = {record.end.term, record.end.index};
+  }
   return json.dump();
 }
 
@@ -198,12 +207,15 @@
       }
     }
     PrimaryRecord record = DecodePrimary(json);
-    const std::optional<TermHistory> history =
-        json.contains("history") ? DecodeHistory(json.at("history")) : TermHistory();
-    if (record.server.empty() || record.generation > kMaxGeneration || !history) {
+    if (record.server.empty() || record.generation > kMaxGeneration) {
       return std::nullopt;
     }
-    record.history = *history;
+    if (json.contains("history")) {
+      record.history = DecodeHistory(json.at("history"));
+    }
+    if (json.contains("end")) {
+      record.end = DecodePosition(json.at("end")).value_or(LogPosition());
+    }
     return record;
   });
 }
