Keep the history of terms when the store returns in a new era

After a restore of the store, the new leader asks the servers which of them leads, and forgot where the terms of its log begin, so that commits that a promotion had rolled back came back (STALE).

The history of the record of the earlier era is kept.

ServerWithRolledBackCommitsIsNotPromotedInANewEraOfTheStore failed before: 50 commits came back.

--- a/src/leader/primary_authority.cc
+++ b/src/leader/primary_authority.cc
@@ -59,6 +59,9 @@
       database.serving_stored = record.serving;
     } else {
       database.record_lost = true;
+      // It may lack promotions that the store has lost, but no server that follows them is taken
+      // for one that left it.
+      database.record.history = record.history;
     }
   }
   for (const auto& [name, revision] : state.unreadable) {
