Tell a replaced primary's log after the promotion of the last server

After a server with rolled back commits had to be promoted, because no other one was left, the history began anew, and the log of the primary that it replaced passed for a part of its own. The commits of that primary came back at the next failure (STALE).

The history now also has the last entry of the promoted server: terms between that one and the new one are not in its log.

--- a/src/leader/log_history.cc
+++ b/src/leader/log_history.cc
@@ -17,7 +17,8 @@
   }
   const TermStart& first = history.Starts().front();
   if (end.index < first.first_index) {
-    return end.term >= first.term;
+    // All entries of the first term or a later one follow in the primary's log.
+    return end.term > first.term;
   }
   return end.term <= history.Starts().back().term && history.TermAt(end.index) != end.term;
 }
@@ -26,10 +27,13 @@
   if (end.term >= term) {
     return history;
   }
-  // A server with rolled back entries leads only if no other one is left. Where its log left the
-  // earlier history is not known.
-  const TermHistory kept =
+  // Where the log of a server with rolled back entries left the earlier history is not known.
+  TermHistory kept =
       HasRolledBackEntries(history, end) ? TermHistory() : history.TruncatedTo(end.index);
+  if (kept.Starts().empty() && end.index > 0) {
+    // No term between this one and the new one is in the log.
+    kept = kept.WithTerm(end.term, end.index);
+  }
   std::vector<TermStart> starts = kept.WithTerm(term, end.index + 1).Starts();
   if (starts.size() > kMaxTerms) {
     starts.erase(starts.begin(), starts.end() - kMaxTerms);
--- a/src/leader/log_history_test.cc
+++ b/src/leader/log_history_test.cc
@@ -18,13 +18,23 @@
   EXPECT_FALSE(HasRolledBackEntries(TermHistory(), LogPosition{1, 7}));
 }
 
+TEST(LogHistoryTest, TermsBetweenThatOfAPromotedServerAndItsOwnAreRolledBack) {
+  const TermHistory history = AfterPromotion(TermHistory({{4, 80}}), 5, LogPosition{2, 90});
+  EXPECT_TRUE(HasRolledBackEntries(history, LogPosition{4, 85}));
+  EXPECT_TRUE(HasRolledBackEntries(history, LogPosition{4, 120}));
+  EXPECT_FALSE(HasRolledBackEntries(history, LogPosition{2, 85}));
+  EXPECT_TRUE(HasRolledBackEntries(history, LogPosition{2, 91}));
+}
+
 TEST(LogHistoryTest, APromotionEndsTheTermsAfterTheEndOfTheLog) {
   const TermHistory history({{2, 51}, {4, 80}});
   EXPECT_EQ(AfterPromotion(history, 5, LogPosition{4, 99}),
             TermHistory({{2, 51}, {4, 80}, {5, 100}}));
   EXPECT_EQ(AfterPromotion(history, 5, LogPosition{2, 60}), TermHistory({{2, 51}, {5, 61}}));
   EXPECT_EQ(AfterPromotion(history, 4, LogPosition{4, 99}), history);
-  EXPECT_EQ(AfterPromotion(history, 5, LogPosition{3, 70}), TermHistory({{5, 71}}));
+  EXPECT_EQ(AfterPromotion(history, 5, LogPosition{3, 70}), TermHistory({{3, 70}, {5, 71}}));
+  EXPECT_EQ(AfterPromotion(history, 5, LogPosition{1, 40}), TermHistory({{1, 40}, {5, 41}}));
+  EXPECT_EQ(AfterPromotion(history, 5, LogPosition{}), TermHistory({{5, 1}}));
 }
 
 TEST(LogHistoryTest, OnlyTheLatestTermsAreKept) {
