Do not compare the history of terms with synchronous replicas

With synchronous replicas, confirmed commits were lost (LOST) since the history of terms decides between servers: an old primary that was back with entries that were never confirmed was passed over for a replica that lacked confirmed commits.

What a promotion rolls back there was not confirmed, unless the server was chosen at the time limit. The history is compared without synchronous replicas only.

--- a/src/include/sycamoredrum/successor_selection.h
+++ b/src/include/sycamoredrum/successor_selection.h
@@ -39,7 +39,9 @@
   bool confirmed_end_complete = false;
   /// The old primary runs, and none of its entries may be lost.
   bool planned = false;
-  TermHistory history;  ///< Of the old primary's log.
+  /// Of the old primary's log. Empty with synchronous replicas: what a promotion rolls back there
+  /// was not confirmed, and a server with it may be the only one with confirmed commits.
+  TermHistory history;
 };
 
 /// Why a server may be promoted.
--- a/src/leader/primary_selection.cc
+++ b/src/leader/primary_selection.cc
@@ -95,7 +95,9 @@
     result.confirmed_end_complete = floor->as_of >= this->unreported_until;
   }
   result.planned = database.planned;
-  result.history = database.record.history;
+  if (result.synchronous_replicas == 0) {
+    result.history = database.record.history;
+  }
   return result;
 }
 
--- a/src/leader/primary_watch.cc
+++ b/src/leader/primary_watch.cc
@@ -107,12 +107,13 @@
     return;
   }
   const auto candidates = this->ServersOf(name);
-  const bool ready = std::any_of(
-      candidates.begin(), candidates.end(), [&database](const BackendServerRecord* server) {
+  const TermHistory history = this->Requirements(name, database).history;
+  const bool ready =
+      std::any_of(candidates.begin(), candidates.end(), [&](const BackendServerRecord* server) {
         const std::optional<BackendProbe> answer = database.successors.Answer(server->id);
         return server->state == BackendServerState::kReady && answer &&
                answer->received >= database.min_successor_position &&
-               !HasRolledBackEntries(database.record.history, answer->received);
+               !HasRolledBackEntries(history, answer->received);
       });
   if (ready) {
     this->Replace(name, database, true, reason);
