Do not prefer a server that lacks most of the log to one with rolled back commits

A server that had restarted without its log was promoted at once, and the whole database was lost, since servers with rolled back commits are passed over for any other one.

A server without rolled back commits is preferred unless it lacks more entries than would come back. The choice has a basis of its own, rolled_back, and the time limit is named for what it is for.

--- a/src/include/sycamoredrum/successor_selection.h
+++ b/src/include/sycamoredrum/successor_selection.h
@@ -46,10 +46,11 @@
 
 /// Why a server may be promoted.
 enum class SuccessorBasis {
-  kWholeLog,   ///< It has the old primary's whole log, or all of it that was confirmed.
-  kQuorum,     ///< Every confirmed commit is on it, or on a server whose log is not longer.
-  kAllProbed,  ///< Without synchronous replicas: no other server that runs has a longer log.
-  kTimeLimit,  ///< Confirmed commits may be lost.
+  kWholeLog,    ///< It has the old primary's whole log, or all of it that was confirmed.
+  kQuorum,      ///< Every confirmed commit is on it, or on a server whose log is not longer.
+  kAllProbed,   ///< Without synchronous replicas: no other server that runs has a longer log.
+  kTimeLimit,   ///< Confirmed commits may be lost.
+  kRolledBack,  ///< Commits come back that an earlier promotion rolled back.
 };
 
 std::string_view ToString(SuccessorBasis basis);
@@ -74,7 +75,7 @@
 ///
 /// A server that was not reached by an earlier promotion may have entries that this promotion has
 /// rolled back. Callers have read a log without them, so it is promoted only if no other server
-/// answers within kSynchronousLimit. Not thread-safe.
+/// with most of the log answers within kConsistencyLimit. Not thread-safe.
 class SuccessorSelection {
  public:
   /// Time limit for the servers to answer after the end of the grants, without synchronous
@@ -82,7 +83,7 @@
   static constexpr Duration kAsynchronousLimit = std::chrono::milliseconds(400);
   /// Time limit with synchronous replicas, or while only servers with rolled back entries answer,
   /// from the beginning of the replacement. Requests must be served again 12 s after a failure.
-  static constexpr Duration kSynchronousLimit = std::chrono::seconds(10);
+  static constexpr Duration kConsistencyLimit = std::chrono::seconds(10);
   /// Time limit for the answer to a status request; covers the queue of a slow server.
   static constexpr Duration kStatusTimeout = std::chrono::seconds(2);
   static constexpr Duration kProbeInterval = std::chrono::milliseconds(150);
@@ -134,8 +135,16 @@
   /// It may still claim to lead in its earlier term.
   static bool Replaced(const SuccessorRequirements& requirements, const BackendProbe& primary);
   const Server* Find(const std::string& server) const;
+  /// The candidate with the longest log, of those with or without rolled back entries.
   const SuccessorCandidate* Best(const SuccessorRequirements& requirements,
-                                 const std::vector<SuccessorCandidate>& candidates) const;
+                                 const std::vector<SuccessorCandidate>& candidates,
+                                 bool rolled_back) const;
+  /// The best candidate. One without rolled back entries is preferred, unless it lacks more entries
+  /// than would come back with the other one; a server that has restarted without its log has no
+  /// rolled back entries either. Sets whether the candidate has some.
+  const SuccessorCandidate* Best(const SuccessorRequirements& requirements,
+                                 const std::vector<SuccessorCandidate>& candidates,
+                                 bool* rolled_back) const;
   /// True if a log that ends at `end` certainly contains all confirmed commits of the old primary.
   bool HasAll(const SuccessorRequirements& requirements, const LogPosition& end) const;
   /// True if the log of the server certainly is not longer than `end`.
--- a/src/leader/log_history.cc
+++ b/src/leader/log_history.cc
@@ -1,5 +1,6 @@
 #include "log_history.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -23,6 +24,17 @@
   return end.term <= history.Starts().back().term && history.TermAt(end.index) != end.term;
 }
 
+std::uint64_t SharedEntries(const TermHistory& history, const LogPosition& end) {
+  if (HasRolledBackEntries(history, end)) {
+    for (const TermStart& start : history.Starts()) {
+      if (start.term > end.term) {
+        return std::min(end.index, start.first_index - 1);
+      }
+    }
+  }
+  return end.index;
+}
+
 TermHistory AfterPromotion(const TermHistory& history, std::uint64_t term, const LogPosition& end) {
   if (end.term >= term) {
     return history;
--- a/src/leader/log_history.h
+++ b/src/leader/log_history.h
@@ -11,6 +11,9 @@
 /// False if that is not known, because the history begins later.
 bool HasRolledBackEntries(const TermHistory& history, const LogPosition& end);
 
+/// Number of leading entries that a log that ends at `end` shares at most with the primary's log.
+std::uint64_t SharedEntries(const TermHistory& history, const LogPosition& end);
+
 /// The history after a server whose log ends at `end` has begun to lead in `term`. Keeps the latest
 /// terms only. If the server already has entries of the term, its start is not known, and the
 /// history stays as it is.
--- a/src/leader/log_history_test.cc
+++ b/src/leader/log_history_test.cc
@@ -18,6 +18,14 @@
   EXPECT_FALSE(HasRolledBackEntries(TermHistory(), LogPosition{1, 7}));
 }
 
+TEST(LogHistoryTest, EntriesFromBeforeALaterTermAreShared) {
+  const TermHistory history({{2, 51}, {4, 80}});
+  EXPECT_EQ(SharedEntries(history, LogPosition{1, 60}), 50U);
+  EXPECT_EQ(SharedEntries(history, LogPosition{2, 90}), 79U);
+  EXPECT_EQ(SharedEntries(history, LogPosition{2, 60}), 60U);
+  EXPECT_EQ(SharedEntries(history, LogPosition{4, 99}), 99U);
+}
+
 TEST(LogHistoryTest, TermsBetweenThatOfAPromotedServerAndItsOwnAreRolledBack) {
   const TermHistory history = AfterPromotion(TermHistory({{4, 80}}), 5, LogPosition{2, 90});
   EXPECT_TRUE(HasRolledBackEntries(history, LogPosition{4, 85}));
--- a/src/leader/successor_selection.cc
+++ b/src/leader/successor_selection.cc
@@ -11,7 +11,8 @@
 namespace sycamoredrum {
 
 std::string_view ToString(SuccessorBasis basis) {
-  static constexpr std::string_view kNames[] = {"whole_log", "quorum", "all_probed", "time_limit"};
+  static constexpr std::string_view kNames[] = {"whole_log", "quorum", "all_probed", "time_limit",
+                                                "rolled_back"};
   return kNames[static_cast<int>(basis)];
 }
 
@@ -117,34 +118,44 @@
 }
 
 const SuccessorCandidate* SuccessorSelection::Best(
-    const SuccessorRequirements& requirements,
-    const std::vector<SuccessorCandidate>& candidates) const {
+    const SuccessorRequirements& requirements, const std::vector<SuccessorCandidate>& candidates,
+    bool rolled_back) const {
   const SuccessorCandidate* best = nullptr;
   LogPosition end;
-  bool rolled_back = false;
   for (const SuccessorCandidate& candidate : candidates) {
     const std::optional<BackendProbe> answer = this->Answer(candidate.server);
     if (!candidate.eligible || !answer ||
-        (candidate.server == requirements.old_primary && !Replaced(requirements, *answer))) {
+        (candidate.server == requirements.old_primary && !Replaced(requirements, *answer)) ||
+        HasRolledBackEntries(requirements.history, answer->received) != rolled_back) {
       continue;
     }
-    const bool has_rolled_back = HasRolledBackEntries(requirements.history, answer->received);
     const bool better =
-        best == nullptr ||
-        (rolled_back == has_rolled_back
-             ? end < answer->received || (end == answer->received &&
-                                          std::tie(best->preferred, candidate.unable_to_reach) <
-                                              std::tie(candidate.preferred, best->unable_to_reach))
-             : rolled_back);
+        best == nullptr || end < answer->received ||
+        (end == answer->received && std::tie(best->preferred, candidate.unable_to_reach) <
+                                        std::tie(candidate.preferred, best->unable_to_reach));
     if (better) {
       best = &candidate;
       end = answer->received;
-      rolled_back = has_rolled_back;
     }
   }
   return best;
 }
 
+const SuccessorCandidate* SuccessorSelection::Best(
+    const SuccessorRequirements& requirements, const std::vector<SuccessorCandidate>& candidates,
+    bool* rolled_back) const {
+  const SuccessorCandidate* best = this->Best(requirements, candidates, false);
+  const SuccessorCandidate* other = this->Best(requirements, candidates, true);
+  *rolled_back = best == nullptr;
+  if (best == nullptr || other == nullptr) {
+    return best == nullptr ? other : best;
+  }
+  const LogPosition other_end = this->Answer(other->server)->received;
+  const std::uint64_t shared = SharedEntries(requirements.history, other_end);
+  *rolled_back = this->Answer(best->server)->received.index + (other_end.index - shared) < shared;
+  return *rolled_back ? other : best;
+}
+
 bool SuccessorSelection::HasAll(const SuccessorRequirements& requirements,
                                 const LogPosition& end) const {
   const std::optional<LogPosition>& known_end = requirements.final_end;
@@ -164,16 +175,17 @@
     const SuccessorRequirements& requirements, const std::vector<SuccessorCandidate>& candidates,
     TimePoint now) const {
   const std::string& old_primary = requirements.old_primary;
-  const SuccessorCandidate* best = this->Best(requirements, candidates);
+  bool rolled_back = false;
+  const SuccessorCandidate* best = this->Best(requirements, candidates, &rolled_back);
   if (best == nullptr || !this->grants_ended) {
     return std::nullopt;
   }
-  const LogPosition end = this->Answer(best->server)->received;
-  if (HasRolledBackEntries(requirements.history, end)) {
-    const bool overdue = !requirements.planned && now - this->began > kSynchronousLimit;
-    return overdue ? std::optional(SuccessorChoice{best->server, SuccessorBasis::kTimeLimit})
+  if (rolled_back) {
+    const bool overdue = !requirements.planned && now - this->began > kConsistencyLimit;
+    return overdue ? std::optional(SuccessorChoice{best->server, SuccessorBasis::kRolledBack})
                    : std::nullopt;
   }
+  const LogPosition end = this->Answer(best->server)->received;
   if (this->HasAll(requirements, end)) {
     return SuccessorChoice{best->server, SuccessorBasis::kWholeLog};
   }
@@ -197,7 +209,7 @@
   if (uncovered < requirements.synchronous_replicas && end >= requirements.floor) {
     return SuccessorChoice{best->server, SuccessorBasis::kQuorum};
   }
-  if (now - this->began > kSynchronousLimit) {
+  if (now - this->began > kConsistencyLimit) {
     return SuccessorChoice{best->server, SuccessorBasis::kTimeLimit};
   }
   return std::nullopt;
