Ignore positions that a promotion rolled back when a primary is handed over

A planned change took 5 s instead of less than 2 s, until the draining primary was replaced by force: a member that had observed nothing since the last promotion reported a position from before it, which no server has.

Positions outside the history of the old primary's log are left out.

HandOverSucceedsAlthoughAMemberKnowsARolledBackPosition failed before.

--- a/src/leader/primary_replacement.cc
+++ b/src/leader/primary_replacement.cc
@@ -75,11 +75,14 @@
     return;
   }
   database->awaiting.erase(member);
-  if (reply.newest) {
+  // A member that has observed nothing since the last promotion may know a position from before it
+  // that is in no log any more.
+  const TermHistory& history = database->record.history;
+  if (reply.newest && !HasRolledBackEntries(history, *reply.newest)) {
     database->final_position =
         std::max(database->final_position.value_or(LogPosition{}), *reply.newest);
   }
-  if (reply.confirmed) {
+  if (reply.confirmed && !HasRolledBackEntries(history, *reply.confirmed)) {
     database->final_confirmed =
         std::max(database->final_confirmed.value_or(LogPosition{}), *reply.confirmed);
   }
