Begin no transaction on a server whose grant has ended

A read-only transaction was begun at a former primary if the grant ended while the state of the session was being set on the connection. By the rule on stale reads this is allowed, because the transaction of the caller began before, but nothing else relied on the grant being checked there.

NoReadOnlyTransactionBeginsAfterTheEndOfTheGrant failed before for the route place.

--- a/src/relay/caller_session_dispatch.cc
+++ b/src/relay/caller_session_dispatch.cc
@@ -312,7 +312,8 @@
 }
 
 void RelayCallerSession::BeginTransaction() {
-  if (this->Connection() == nullptr) {
+  // The grant may have ended while the session's state was being set.
+  if (!this->MayUseServer() || this->Connection() == nullptr) {
     this->Prepare();
     return;
   }
