Test what is reported and acknowledged at the end of a grant

No test covered a commit whose answer arrives after that to a later statement up to the end of its grant, or a grant that expires without a revocation.

--- a/src/relay/position_after_grant_test.cc
+++ b/src/relay/position_after_grant_test.cc
@@ -44,5 +44,42 @@
   }
 }
 
+// Guards against commits that a planned change loses: the answer to a commit arrives after that to
+// a later statement, so that the newest observation does not include it.
+TEST_F(PositionAfterGrantTest, CommitWithALateAnswerIsReportedWhenItsGrantEnds) {
+  TestCaller& writer = this->Open("place");
+  TestCaller& reader = this->Open("place");
+  this->RunStatement(writer, MakeStatement(StatementKind::kRead, "opens a connection"));
+  this->database.At(0).work = milliseconds(100);
+  writer.session->Handle(MakeStatement(StatementKind::kWrite, "commit"));
+  this->Advance(milliseconds(10));
+  this->database.At(0).work = milliseconds(5);
+  this->RunStatement(reader, MakeStatement(StatementKind::kRead, "later"));
+  ASSERT_EQ(writer.results.size(), 1U);
+  this->grants.Revoke(1, "orders", 1);
+  this->Advance(milliseconds(200));
+  ASSERT_TRUE(writer.LastSucceeded());
+  this->grants.FinishRevocation("orders");
+  const LogPosition end = SimulatedDatabase::End(this->database.At(0));
+  EXPECT_LT(this->relay->NewestPosition("orders", 1)->position, end);
+  EXPECT_EQ(this->relay->LastPosition("orders", 1), end);
+  EXPECT_EQ(this->relay->LastConfirmed("orders", 1), end);
+}
+
+// Guards against the use of a former primary by a process that gets no revocation: a commit whose
+// answer arrives after the grant has expired, and a statement that begins then.
+TEST_F(PositionAfterGrantTest, NothingIsDoneUnderAnExpiredGrant) {
+  this->Grant(0, 2, milliseconds(200));
+  TestCaller& caller = this->Open("place");
+  this->RunStatement(caller, MakeStatement(StatementKind::kRead, "opens a connection"));
+  this->database.At(0).work = milliseconds(300);
+  this->RunStatement(caller, MakeStatement(StatementKind::kWrite, "commit"));
+  EXPECT_EQ(this->RunsOf("commit").size(), 1U);
+  EXPECT_EQ(caller.LastError(), StatementErrorCode::kUnknownOutcome);
+  EXPECT_FALSE(this->relay->LastConfirmed("orders", 2));
+  this->RunStatement(caller, MakeStatement(StatementKind::kRead, "next"));
+  EXPECT_TRUE(this->RunsOf("next").empty());
+}
+
 }  // namespace
 }  // namespace sycamoredrum
