Grant an old primary only after its promotion over a silent successor

Cause: the promoted server falls silent before it is confirmed, and the old primary answers again. Its promotion is requested, but its answer that it leads, in the former term, was taken for the confirmation.

If a promotion of another server may have taken effect since the replacement began, the old primary is confirmed in a later term only, or if the platform leaves it as it is.

OldPrimaryIsNotGrantedInATermBeforeThatOfASilentSuccessor failed before.

--- a/src/include/sycamoredrum/primary_authority.h
+++ b/src/include/sycamoredrum/primary_authority.h
@@ -312,6 +312,9 @@
     bool suspected = false;  ///< Some member has reported that the primary does not answer it.
     bool call_in_flight = false;
     bool target_answered = false;  ///< Since its promotion was requested.
+    /// A promotion of another server than the old primary may have taken effect since the
+    /// replacement began.
+    bool other_promoted = false;
     /// Latest term in the record or in a report of a member or server. A server that claims to be
     /// the primary in an earlier term has not noticed its replacement.
     std::uint64_t known_term = 0;
--- a/src/leader/primary_replacement.cc
+++ b/src/leader/primary_replacement.cc
@@ -30,6 +30,7 @@
   database.planned = planned;
   database.resume_promotion = false;
   database.claimed_term.reset();
+  database.other_promoted = false;
   database.old_server = database.record.server;
   database.final_position.reset();
   database.final_confirmed.reset();
@@ -145,6 +146,11 @@
   database.hand_over_not_before = this->clock.Now() + kHandOverPause;
   database.target = database.old_server;
   database.target_end = {};
+  if (database.other_promoted) {
+    // It may lead only in a term after that of the other server, which would replace it otherwise.
+    const std::optional<BackendProbe> answer = database.successors.Answer(database.old_server);
+    database.claimed_term = answer ? std::optional(answer->term) : std::nullopt;
+  }
   this->Enter(name, database, Phase::kRecord);
   this->StoreRecord(name, database);
 }
@@ -269,6 +275,11 @@
 
 void PrimaryAuthority::OnPromote(const std::string& name, Database& database,
                                  PromoteOutcome outcome) {
+  const bool may_have_happened =
+      outcome == PromoteOutcome::kAccepted || outcome == PromoteOutcome::kUnknown;
+  if (may_have_happened && database.target != database.old_server) {
+    database.other_promoted = true;
+  }
   switch (outcome) {
     case PromoteOutcome::kAccepted:
       this->Enter(name, database, Phase::kConfirm);
