Wait for commits that a member confirms before its next generation

With synchronous replicas, confirmed commits were lost (LOST): a member that has not answered the revocation of a change that is given up, or that has the grant of a generation which is renewed, confirms commits and forgets them with its next grant, while the leader took the reports as complete.

Until the grants of these members end, commits count as unreported.

CommitsThatAMemberConfirmsAfterAHandOverWasGivenUpAreWaitedFor and ...BeforeItsNextGeneration... failed before, with 25 commits lost each.

--- a/src/include/sycamoredrum/primary_authority.h
+++ b/src/include/sycamoredrum/primary_authority.h
@@ -389,6 +389,8 @@
   void AwaitAllHolders(Database& database) const;
   /// Until `until`, processes that are lost now may have confirmed commits.
   void CommitsUnreported(TimePoint until);
+  /// Until the grants of these members end, they may confirm commits that they do not report.
+  void CommitsUnreportedBy(const std::set<std::string>& members_with_grants);
   void SendRevocations(const std::string& name, Database& database);
   void OnRevocation(const std::string& name, std::uint64_t step, const std::string& member,
                     const RevocationReply& reply);
--- a/src/leader/primary_replacement.cc
+++ b/src/leader/primary_replacement.cc
@@ -14,6 +14,7 @@
   database.target = database.record.server;
   database.target_end = {};
   database.target_leads = true;
+  this->CommitsUnreportedBy(this->holders.HoldersAt(this->clock.Now()));
   this->Enter(name, database, Phase::kRecord);
   this->StoreRecord(name, database);
 }
@@ -99,6 +100,13 @@
   this->unreported_until = std::max(this->unreported_until, until);
 }
 
+// Such a member may confirm commits under its present grant and forgets them with the next one.
+void PrimaryAuthority::CommitsUnreportedBy(const std::set<std::string>& members_with_grants) {
+  for (const std::string& member : members_with_grants) {
+    this->CommitsUnreported(this->holders.End(member));
+  }
+}
+
 void PrimaryAuthority::CheckRevocations(const std::string& name, Database& database) {
   if (database.phase != Phase::kRevoke) {
     return;
@@ -151,6 +159,7 @@
     const std::optional<BackendProbe> answer = database.successors.Answer(database.old_server);
     database.claimed_term = answer ? std::optional(answer->term) : std::nullopt;
   }
+  this->CommitsUnreportedBy(database.awaiting);
   this->Enter(name, database, Phase::kRecord);
   this->StoreRecord(name, database);
 }
