Compare a successor by quorum with the commits that members report

With synchronous replicas, confirmed commits were lost (LOST): a replica whose record had expired still received and confirmed them, and the other one was taken for all that is left, although members reported a greater confirmed position than the log that it has.

--- a/src/leader/successor_selection.cc
+++ b/src/leader/successor_selection.cc
@@ -206,7 +206,8 @@
     return std::nullopt;
   }
   const int uncovered = this->CountUncovered(requirements, candidates, best->server, end);
-  if (uncovered < requirements.synchronous_replicas && end >= requirements.floor) {
+  const LogPosition known_end = std::max(requirements.floor, requirements.confirmed_end);
+  if (uncovered < requirements.synchronous_replicas && end >= known_end) {
     return SuccessorChoice{best->server, SuccessorBasis::kQuorum};
   }
   if (now - this->began > kConsistencyLimit) {
