--- a/src/include/sycamoredrum/successor_selection.h
+++ b/src/include/sycamoredrum/successor_selection.h
@@ -135,10 +135,11 @@
   /// It may still claim to lead in its earlier term.
   static bool Replaced(const SuccessorRequirements& requirements, const BackendProbe& primary);
   const Server* Find(const std::string& server) const;
-  /// The candidate with the longest log, of those with or without rolled back entries.
-  const SuccessorCandidate* Best(const SuccessorRequirements& requirements,
-                                 const std::vector<SuccessorCandidate>& candidates,
-                                 bool rolled_back) const;
+  /// The candidate with the longest log, either of those with or of those without rolled back
+  /// entries.
+  const SuccessorCandidate* LongestLog(const SuccessorRequirements& requirements,
+                                       const std::vector<SuccessorCandidate>& candidates,
+                                       bool rolled_back) const;
   /// The best candidate. One without rolled back entries is preferred, unless it lacks more entries
   /// than would come back with the other one; a server that has restarted without its log has no
   /// rolled back entries either. Sets whether the candidate has some.
--- a/src/leader/successor_selection.cc
+++ b/src/leader/successor_selection.cc
@@ -117,7 +117,7 @@
          (primary.role == Role::kReplica || primary.term < requirements.known_term);
 }
 
-const SuccessorCandidate* SuccessorSelection::Best(
+const SuccessorCandidate* SuccessorSelection::LongestLog(
     const SuccessorRequirements& requirements, const std::vector<SuccessorCandidate>& candidates,
     bool rolled_back) const {
   const SuccessorCandidate* best = nullptr;
@@ -144,15 +144,18 @@
 const SuccessorCandidate* SuccessorSelection::Best(
     const SuccessorRequirements& requirements, const std::vector<SuccessorCandidate>& candidates,
     bool* rolled_back) const {
-  const SuccessorCandidate* best = this->Best(requirements, candidates, false);
-  const SuccessorCandidate* other = this->Best(requirements, candidates, true);
+  const SuccessorCandidate* best = this->LongestLog(requirements, candidates, false);
+  const SuccessorCandidate* other = this->LongestLog(requirements, candidates, true);
   *rolled_back = best == nullptr;
   if (best == nullptr || other == nullptr) {
     return best == nullptr ? other : best;
   }
+  const std::uint64_t end = this->Answer(best->server)->received.index;
   const LogPosition other_end = this->Answer(other->server)->received;
   const std::uint64_t shared = SharedEntries(requirements.history, other_end);
-  *rolled_back = this->Answer(best->server)->received.index + (other_end.index - shared) < shared;
+  const std::uint64_t lacking = shared - std::min(end, shared);
+  const std::uint64_t coming_back = other_end.index - shared;
+  *rolled_back = lacking > coming_back;
   return *rolled_back ? other : best;
 }
 
